Wait for a free connection before a leg is sent

Cause: a leg that waited in the transport for longer than the margin was refused by the connection's own write check, and the transport then closed that connection. The upstream counted it until it noticed the close, while another one was opened. A busy machine made the 50 legs of the spec wait that long; legs of 30 ms do it every time (5, 6 and 6 connections seen in three runs, 4 allowed).

Change: a pool lets in as many legs as it may have connections; one that waits for longer than the margin is refused as not run before a connection is taken.

--- a/io/upstream/conn_test.go
+++ b/io/upstream/conn_test.go
@@ -123,6 +123,24 @@
 		Expect(f.most.Load()).To(BeNumerically("<=", 4), "half of the upstream's connections")
 	})
 
+	It("outlast legs that waited too long for one", func() {
+		f := newFake()
+		c := f.client(8, 1500, 1000)
+		f.run = func(_ context.Context, l leg.Leg) leg.Result {
+			time.Sleep(30 * time.Millisecond)
+
+			return leg.Result{Answer: echo(l)}
+		}
+		var done []chan admit.Outcome
+		for range 50 {
+			done = append(done, start(c, search("b", 5000)))
+		}
+		for _, d := range done {
+			Eventually(d).WithTimeout(generous).Should(Receive(HaveField("Finished", BeTrue())))
+		}
+		Expect(f.most.Load()).To(BeNumerically("<=", 4), "half of the upstream's connections")
+	})
+
 	It("are retired when they are silent while a new one answers", func() {
 		f := newFake()
 		block := make(chan struct{})
--- a/io/upstream/pool.go
+++ b/io/upstream/pool.go
@@ -44,6 +44,8 @@
 	client      *Client
 	// probe opens a connection of its own for each call.
 	probe *Client
+	// turns has room for as many legs as there may be connections.
+	turns chan struct{}
 }
 
 // NewPool returns a pool for the upstream at address, which looks like "127.0.0.1:9000".
@@ -58,6 +60,7 @@
 		options: o, connections: k, transport: transport,
 		client: New(address, &http.Client{Transport: rpc.Bearing(o.Edge, transport)}, o.Now),
 		probe:  New(address, &http.Client{Transport: rpc.Bearing(o.Edge, once)}, o.Now),
+		turns:  make(chan struct{}, k.limit),
 	}
 }
 
@@ -71,6 +74,10 @@
 	now := p.options.Now()
 	ctx, cancel := context.WithTimeout(context.Background(), (l.Deadline + p.options.Margin - now).Duration())
 	defer cancel()
+	if !p.enter() {
+		return admit.Outcome{Result: leg.Refused(reason.Stale, reason.No, "no connection was free"), Finished: true}
+	}
+	defer p.leave()
 	var used *conn
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
 		used, _ = info.Conn.(*conn)
@@ -97,6 +104,27 @@
 	return admit.Outcome{Result: leg.Result{Answer: answer}, Finished: true}
 }
 
+// enter waits until a connection is free, for as long as a leg may still go out after its decision.
+// A leg that came too late on a connection would cost the connection: the upstream counts it until
+// it notices the close, while another one is opened.
+func (p *Pool) enter() bool {
+	select {
+	case p.turns <- struct{}{}:
+		return true
+	default:
+	}
+	patience := time.NewTimer(p.options.Margin.Duration())
+	defer patience.Stop()
+	select {
+	case p.turns <- struct{}{}:
+		return true
+	case <-patience.C:
+		return false
+	}
+}
+
+func (p *Pool) leave() { <-p.turns }
+
 // failed says what is known of a leg whose call brought no answer.
 func (p *Pool) failed(err error, used *conn) admit.Outcome {
 	refusal := rpc.Refusal(err)
