Serve the platform's routes with an entry daemon

The daemon follows the platform's store, forwards plain routes, gathers from every shard of a route and merges the greatest records. platform/ holds the wire's names; core/gather and core/balance decide.

--- a/cmd/jacinthferry/main.go
+++ b/cmd/jacinthferry/main.go
@@ -31,7 +31,7 @@
 		ExitErrHandler:                  func(context.Context, *cli.Command, error) {},
 		OnUsageError:                    func(_ context.Context, _ *cli.Command, err error, _ bool) error { return err },
 		Commands: []*cli.Command{
-			serveCommand(), demoCommand(), loadCommand(),
+			serveCommand(), entryCommand(), demoCommand(), loadCommand(),
 			queryCommand(), submitCommand(), idCommand(), entriesCommand(),
 			checkCommand(), applyCommand(), getCommand(), historyCommand(), zoneCommand(), statusCommand(), whyCommand(),
 			schemaCommand(), versionCommand(),
--- a/cmd/jacinthferry/schema.go
+++ b/cmd/jacinthferry/schema.go
@@ -13,14 +13,16 @@
 	return &cli.Command{
 		Name:      "schema",
 		Usage:     "print the JSON Schema of a file",
-		ArgsUsage: "config|settings",
+		ArgsUsage: "config|settings|entry",
 		Description: `Example:
   jacinthferry schema settings > settings.schema.json`,
 		Action: func(_ context.Context, c *cli.Command) error {
-			schemas := map[string]func() (*schema.Schema, error){"config": schema.Config, "settings": settings.Schema}
+			schemas := map[string]func() (*schema.Schema, error){
+				"config": schema.Config, "settings": settings.Schema, "entry": settings.EntrySchema,
+			}
 			get := schemas[c.Args().First()]
 			if get == nil {
-				return usage("there is no schema %q, want config or settings", c.Args().First())
+				return usage("there is no schema %q, want config, settings or entry", c.Args().First())
 			}
 			s, err := get()
 			if err != nil {
--- /dev/null
+++ b/core/catalog/view.go
@@ -0,0 +1,74 @@
+package catalog
+
+import (
+	"cmp"
+	"slices"
+
+	"jacinthferry/core/clock"
+)
+
+// Upstream is one running process that serves a service, as it registered itself.
+type Upstream struct {
+	// ID names this process alone; a restarted one mostly has another.
+	ID      string
+	Service string
+	Address string
+	Zone    string
+	// Version is the version of its software.
+	Version string
+	// Slots is how many requests it runs at once.
+	Slots int
+	// Draining is set when it takes no new requests.
+	Draining bool
+	// Warmup is how much longer it stays cold, from Seen on.
+	Warmup clock.Milli
+	Seen   clock.Milli
+	// Born is the start of the process in Unix milliseconds, or 0. Another one under the same ID is
+	// another process.
+	Born int64
+	// Revision is the store's revision of the entry.
+	Revision int64
+}
+
+// Key identifies the process, also when an ID is used again.
+func (u *Upstream) Key() Key { return Key{u.ID, u.Born} }
+
+// Key identifies one upstream process.
+type Key struct {
+	ID   string
+	Born int64
+}
+
+// View is all that a request is decided by, at one moment.
+type View struct {
+	// Config is nil until a configuration is known.
+	Config *Config
+	usable map[string][]*Upstream
+	known  map[Key]bool
+}
+
+// NewView returns a view. Upstreams that drain and those in a zone of out are not offered.
+func NewView(config *Config, upstreams []*Upstream, out map[string]bool) *View {
+	v := &View{Config: config, usable: make(map[string][]*Upstream), known: make(map[Key]bool, len(upstreams))}
+	for _, u := range upstreams {
+		v.known[u.Key()] = true
+		if !u.Draining && !out[u.Zone] {
+			v.usable[u.Service] = append(v.usable[u.Service], u)
+		}
+	}
+	for _, list := range v.usable {
+		slices.SortFunc(list, func(a, b *Upstream) int { return cmp.Compare(a.ID, b.ID) })
+	}
+
+	return v
+}
+
+// Usable returns the upstreams of a service that take new requests, ordered by ID. It must not be
+// changed.
+func (v *View) Usable(service string) []*Upstream { return v.usable[service] }
+
+// Known returns how many upstreams are registered, draining ones included.
+func (v *View) Known() int { return len(v.known) }
+
+// Has reports whether an upstream is registered.
+func (v *View) Has(k Key) bool { return v.known[k] }
--- a/core/reason/reason.go
+++ b/core/reason/reason.go
@@ -7,6 +7,8 @@
 const (
 	// Service says that no such service is configured.
 	Service Word = "service"
+	// Route says that no route matches the request.
+	Route Word = "route"
 	// Invalid says that a request is malformed.
 	Invalid Word = "invalid"
 	// Deadline says that the time allowed ran out or cannot be met.
--- /dev/null
+++ b/io/entry/entry.go
@@ -0,0 +1,164 @@
+package entry
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"k8s.io/klog/v2"
+
+	"jacinthferry/core/clock"
+	"jacinthferry/core/gather"
+	"jacinthferry/io/gateway"
+	"jacinthferry/io/journal"
+	"jacinthferry/io/registry"
+	"jacinthferry/io/settings"
+	"jacinthferry/io/socket"
+	"jacinthferry/io/timer"
+	"jacinthferry/platform"
+)
+
+const (
+	// journalSize is how many events a daemon keeps.
+	journalSize = 256
+	// storeDial bounds the opening of a connection to the store, and storeAck how long bytes written
+	// there may stay unacknowledged.
+	storeDial = 500 * clock.Millisecond
+	storeAck  = clock.Second
+	// reserve is the time kept back from a caller's deadline for the answer's way.
+	reserve = 5 * clock.Millisecond
+	// lastPart is the part of the grace that the end of the process takes.
+	lastPart = 0.1
+	// headerTimeout bounds the reading of a request's header, headerLimit its bytes, and idleTimeout
+	// how long a caller's connection may stay unused.
+	headerTimeout = 10 * time.Second
+	headerLimit   = 64 << 10
+	idleTimeout   = 2 * time.Minute
+)
+
+// Entry is one running entry daemon.
+type Entry struct {
+	settings settings.Entry
+	journal  *journal.Journal
+	registry *registry.Registry
+	lease    *registry.Lease
+	gateway  *gateway.Gateway
+	leaving  atomic.Bool
+	servers  []*http.Server
+	cancel   context.CancelFunc
+}
+
+// Start starts an entry daemon and returns once its listeners are open.
+func Start(ctx context.Context, s settings.Entry) (*Entry, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	now := timer.New()
+	e := &Entry{settings: s, cancel: cancel, journal: journal.New(s.Name, journalSize, now)}
+	store := &http.Client{Transport: &http.Transport{DialContext: socket.Dialer(storeDial, storeAck).DialContext}}
+	ports := registry.Ports{
+		Now: now, Store: platform.NewStore(s.Store, store), Decode: platform.Decode, Record: e.journal.Record,
+		Self: registry.Member{Name: s.Name, Front: s.Front, Zone: s.Zone},
+	}
+	e.registry, e.lease = registry.New(ports), registry.NewLease(ports)
+	e.gateway = gateway.New(gateway.Ports{
+		Now: now, View: e.registry.View, Daemons: e.registry.Daemons, Codec: platform.Codec(),
+		Record: e.journal.Record, Zone: s.Zone,
+		Policy: gather.Policy{Extra: s.Repeats.Ratio, Slack: s.Repeats.Slack, Reserve: reserve},
+	})
+	front := &platform.Front{
+		Now: now, Serve: e.gateway.Serve, Limits: e.gateway.Limits, Leaving: e.leaving.Load,
+	}
+	if err := e.listen(front); err != nil {
+		e.Close()
+
+		return nil, err
+	}
+	go e.registry.Run(ctx)
+	go e.lease.Run(ctx)
+	go e.gateway.Run(ctx)
+
+	return e, nil
+}
+
+// listen opens the listeners.
+func (e *Entry) listen(front http.Handler) error {
+	listeners := []struct {
+		address string
+		handler http.Handler
+	}{
+		{e.settings.Front, front},
+		{e.settings.Ready, platform.Ready(e.Ready)},
+		{e.settings.Directory, platform.Directory(e.addresses)},
+		{e.settings.Metrics, http.HandlerFunc(e.metrics)},
+	}
+	for _, l := range listeners {
+		if l.address == "" {
+			continue
+		}
+		listener, err := (&net.ListenConfig{KeepAlive: -1}).Listen(context.Background(), "tcp", l.address)
+		if err != nil {
+			return errors.Wrapf(err, "entry: cannot listen on %s", l.address)
+		}
+		server := &http.Server{
+			Handler: l.handler, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: headerLimit, IdleTimeout: idleTimeout,
+		}
+		e.servers = append(e.servers, server)
+		go func() { _ = server.Serve(listener) }()
+	}
+
+	return nil
+}
+
+// Ready reports whether the daemon takes requests.
+func (e *Entry) Ready() bool {
+	view := e.registry.View()
+
+	return !e.leaving.Load() && view != nil && view.Config != nil
+}
+
+// addresses names the daemons for callers in an availability zone: those of the zone when there are
+// several, and all of them otherwise.
+func (e *Entry) addresses(zone string) platform.Addresses {
+	state := e.registry.State()
+	if state == nil {
+		return platform.Addresses{}
+	}
+	var near, all []string
+	for _, m := range state.Members {
+		all = append(all, m.Front)
+		if m.Zone == zone {
+			near = append(near, m.Front)
+		}
+	}
+	if len(near) >= nearEnough {
+		all = near
+	}
+
+	return platform.Addresses{List: all, Keep: e.settings.Keep}
+}
+
+// nearEnough is how many daemons a caller's availability zone needs to be named alone.
+const nearEnough = 2
+
+func (e *Entry) metrics(w http.ResponseWriter, _ *http.Request) { e.journal.WriteMetrics(w) }
+
+// Stop leaves the directory, serves on until the grace is nearly over, and ends.
+func (e *Entry) Stop(ctx context.Context) {
+	begin := time.Now()
+	e.leaving.Store(true)
+	e.lease.Leave(ctx)
+	klog.InfoS("left", "name", e.settings.Name)
+	left := (e.settings.Grace * (1 - lastPart)).Duration() - time.Since(begin)
+	time.Sleep(max(0, left))
+	e.Close()
+}
+
+// Close ends the daemon at once.
+func (e *Entry) Close() {
+	e.cancel()
+	for _, s := range e.servers {
+		_ = s.Close()
+	}
+}
--- /dev/null
+++ b/io/gateway/gateway.go
@@ -0,0 +1,121 @@
+package gateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"jacinthferry/core/balance"
+	"jacinthferry/core/catalog"
+	"jacinthferry/core/clock"
+	"jacinthferry/core/event"
+	"jacinthferry/core/gather"
+	"jacinthferry/core/reason"
+)
+
+// pruneEvery is the time between two looks for connections and beliefs that nothing needs.
+const pruneEvery = 2 * time.Second
+
+// Ports are what a Gateway needs.
+type Ports struct {
+	Now     func() clock.Milli
+	View    func() *catalog.View
+	Daemons func() int
+	Codec   Codec
+	Record  func(event.Event)
+	// Zone is the availability zone of this daemon.
+	Zone   string
+	Policy gather.Policy
+}
+
+// Gateway serves requests. It is safe for concurrent use.
+type Gateway struct {
+	ports Ports
+	pool  *pool
+
+	// mu guards what the requests share: the desk, the fleet and the queries.
+	mu    sync.Mutex
+	fleet *balance.Fleet
+	desk  *gather.Desk
+}
+
+// New returns a gateway.
+func New(ports Ports) *Gateway {
+	fleet := balance.New(balance.Rules{Zone: ports.Zone, Daemons: ports.Daemons, Uniform: rand.Float64})
+
+	return &Gateway{
+		ports: ports, pool: newPool(), fleet: fleet,
+		desk: gather.New(ports.Policy, fleet, ports.Daemons, rand.Float64),
+	}
+}
+
+// Run drops what nothing needs any more until ctx ends.
+func (g *Gateway) Run(ctx context.Context) {
+	ticker := time.NewTicker(pruneEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			g.prune()
+		}
+	}
+}
+
+func (g *Gateway) prune() {
+	view := g.ports.View()
+	if view == nil || view.Config == nil {
+		return
+	}
+	now := g.ports.Now()
+	g.pool.prune(now, view.Has)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.desk.Keep(now, view)
+}
+
+// Limits returns what a caller may send, and false while no configuration is known.
+func (g *Gateway) Limits() (catalog.Limits, bool) {
+	view := g.ports.View()
+	if view == nil || view.Config == nil {
+		return catalog.Limits{}, false
+	}
+
+	return view.Config.Limits, true
+}
+
+// Serve answers a call. It returns an answer with neither reply nor refusal when the caller left.
+func (g *Gateway) Serve(ctx context.Context, call *Call) Answer {
+	view := g.ports.View()
+	if view == nil || view.Config == nil {
+		return g.refuse(call, reason.Configuration)
+	}
+	route := view.Config.Match(call.Host, call.Path)
+	if route == nil {
+		return g.refuse(call, reason.Route)
+	}
+	if call.Left <= 0 {
+		call.Left = route.Timeout
+	}
+	f := &flight{gateway: g, call: call, route: route, done: make(chan struct{})}
+	f.start(view)
+	select {
+	case <-f.done:
+		f.stop()
+	case <-ctx.Done():
+		f.abandon()
+	}
+
+	return f.answer
+}
+
+// unconfigured is after how long a caller may come back to a daemon that has no configuration.
+const unconfigured = 200 * clock.Millisecond
+
+func (g *Gateway) refuse(call *Call, word reason.Word) Answer {
+	g.ports.Record(event.Event{Kind: event.Refusal, Reason: word, Request: call.ID})
+
+	return Answer{Refusal: reason.New(word, reason.No, ""), Retry: unconfigured}
+}
--- /dev/null
+++ b/io/registry/record.go
@@ -0,0 +1,74 @@
+package registry
+
+import (
+	"encoding/json"
+	"strings"
+
+	"jacinthferry/core/catalog"
+	"jacinthferry/core/clock"
+	"jacinthferry/io/platform"
+)
+
+// Kind tells the records of the store apart.
+type Kind int
+
+// The kinds of Record.
+const (
+	// Other is an entry that says nothing to a daemon.
+	Other Kind = iota
+	// Config is the operators' configuration.
+	Config
+	// Upstream is a registered upstream.
+	Upstream
+	// ZoneOut takes an availability zone out for as long as the entry is there.
+	ZoneOut
+	// Daemon is one of the daemons.
+	Daemon
+)
+
+// Record is what an entry of the store says.
+type Record struct {
+	Kind     Kind
+	Config   *catalog.Config
+	Upstream *catalog.Upstream
+	Zone     string
+	Member   Member
+}
+
+// Member is one daemon.
+type Member struct {
+	Name string
+	// Front is where it takes requests.
+	Front string
+	Zone  string
+}
+
+// memberPrefix is what the keys of daemons begin with.
+const memberPrefix = "jacinthferry/members/"
+
+type memberRecord struct {
+	Front string `json:"front"`
+	Zone  string `json:"zone"`
+}
+
+func (m Member) key() string { return memberPrefix + m.Name }
+
+func (m Member) value() (string, error) {
+	text, err := json.Marshal(memberRecord{Front: m.Front, Zone: m.Zone})
+
+	return string(text), err //nolint:wrapcheck // Two strings are always encoded.
+}
+
+// decode reads an entry: a daemon's here, any other as the platform writes it.
+func (p *Ports) decode(e platform.Entry, now clock.Milli) (Record, error) {
+	name, ok := strings.CutPrefix(e.Key, memberPrefix)
+	if !ok {
+		return p.Decode(e, now)
+	}
+	var m memberRecord
+	if err := json.Unmarshal([]byte(e.Value), &m); err != nil {
+		return Record{}, err //nolint:wrapcheck // The caller logs it with the key.
+	}
+
+	return Record{Kind: Daemon, Member: Member{Name: name, Front: m.Front, Zone: m.Zone}}, nil
+}
--- /dev/null
+++ b/io/registry/registry.go
@@ -0,0 +1,324 @@
+package registry
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"jacinthferry/core/catalog"
+	"jacinthferry/core/clock"
+	"jacinthferry/core/event"
+	"jacinthferry/core/reason"
+	"jacinthferry/io/platform"
+)
+
+const (
+	// watchWait is how long a watch waits for a change. A connection that went silent is noticed
+	// after this and the call's own timeout.
+	watchWait = 2 * clock.Second
+	// watchPause is the time between two watches, so that changes are taken in batches.
+	watchPause = 50 * clock.Millisecond
+	// backoffFirst and backoffLast bound the pause after a call that failed; it doubles each time.
+	backoffFirst = 100 * clock.Millisecond
+	backoffLast  = 800 * clock.Millisecond
+	// grace is how long an entry that vanished while the store was in trouble is still believed: its
+	// owner may only have been kept from renewing its lease.
+	grace = 2500 * clock.Millisecond
+)
+
+// Ports are what a Registry needs.
+type Ports struct {
+	Now    func() clock.Milli
+	Store  platform.Store
+	Decode func(e platform.Entry, now clock.Milli) (Record, error)
+	Record func(event.Event)
+	// Self is this daemon's own entry.
+	Self Member
+}
+
+// held is a record and the entry that it came from.
+type held struct {
+	record   Record
+	revision int64
+	// until is when a record whose entry vanished is forgotten, or 0.
+	until clock.Milli
+}
+
+// State is what the registry knows at one moment. It is immutable.
+type State struct {
+	View *catalog.View
+	// Members are the daemons, ordered by name.
+	Members []Member
+	// Revision is the store's, and At when it was heard.
+	Revision int64
+	At       clock.Milli
+}
+
+// Registry is the control thread's state.
+type Registry struct {
+	ports   Ports
+	state   atomic.Pointer[State]
+	heard   atomic.Int64
+	entries map[string]held
+	after   int64
+	loaded  bool
+	// troubled is until when vanished entries are still believed.
+	troubled clock.Milli
+	backoff  clock.Milli
+	lost     bool
+}
+
+// New returns a registry that knows nothing yet.
+func New(ports Ports) *Registry {
+	return &Registry{ports: ports, entries: make(map[string]held)}
+}
+
+// State returns the newest state, or nil before the first.
+func (r *Registry) State() *State { return r.state.Load() }
+
+// View returns the newest view, or nil before the first.
+func (r *Registry) View() *catalog.View {
+	s := r.state.Load()
+	if s == nil {
+		return nil
+	}
+
+	return s.View
+}
+
+// Daemons returns how many daemons are known, this one included.
+func (r *Registry) Daemons() int {
+	s := r.state.Load()
+	if s == nil {
+		return 1
+	}
+
+	return max(1, len(s.Members))
+}
+
+// Run follows the store until ctx ends.
+func (r *Registry) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		err := r.step(ctx)
+		if err == nil {
+			r.regained()
+			pause(ctx, watchPause)
+
+			continue
+		}
+		r.failed(err)
+		pause(ctx, r.backoff*clock.Milli(0.5+rand.Float64()/2))
+	}
+}
+
+// step makes one call: a list of everything at first, and a watch afterwards.
+func (r *Registry) step(ctx context.Context) error {
+	if !r.loaded {
+		return r.load(ctx)
+	}
+	changes, revision, err := r.ports.Store.Watch(ctx, "", r.after, watchWait)
+	if err != nil {
+		return err //nolint:wrapcheck // It is a refusal of the store.
+	}
+	now := r.ports.Now()
+	changed := r.forget(now)
+	for _, e := range changes {
+		changed = r.apply(now, e) || changed
+	}
+	r.after = max(r.after, revision)
+	r.heard.Store(int64(now))
+	if changed {
+		r.publish(now)
+	}
+
+	return nil
+}
+
+// load reads everything anew. What is not there any more is gone.
+func (r *Registry) load(ctx context.Context) error {
+	list, revision, err := r.ports.Store.List(ctx, "")
+	if err != nil {
+		return err //nolint:wrapcheck // It is a refusal of the store.
+	}
+	now := r.ports.Now()
+	seen := make(map[string]bool, len(list))
+	for _, e := range list {
+		seen[e.Key] = true
+		r.apply(now, e)
+	}
+	for key := range r.entries {
+		if !seen[key] {
+			r.vanished(now, key)
+		}
+	}
+	r.after, r.loaded = revision, true
+	r.heard.Store(int64(now))
+	r.publish(now)
+
+	return nil
+}
+
+// apply takes one entry as the store holds it and reports whether the state changed.
+func (r *Registry) apply(now clock.Milli, e platform.Entry) bool {
+	old, known := r.entries[e.Key]
+	if known && e.Revision <= old.revision {
+		return false
+	}
+	if e.Deleted {
+		return known && r.vanished(now, e.Key)
+	}
+	record, err := r.ports.decode(e, now)
+	if err != nil {
+		r.note(event.Event{Kind: event.Upstream, Reason: reason.Invalid, Detail: err.Error()})
+		delete(r.entries, e.Key)
+
+		return known
+	}
+	if record.Kind == Other {
+		return false
+	}
+	r.noteChange(&old.record, &record, e)
+	r.entries[e.Key] = held{record: record, revision: e.Revision}
+
+	return true
+}
+
+// vanished takes an entry that is gone. Configuration stays in force; daemons and upstreams are
+// believed a little longer while the store is in trouble.
+func (r *Registry) vanished(now clock.Milli, key string) bool {
+	h := r.entries[key]
+	switch h.record.Kind {
+	case Config:
+		return false
+	case Upstream, Daemon:
+		if now < r.troubled {
+			if h.until == 0 {
+				h.until = r.troubled
+				r.entries[key] = h
+			}
+
+			return false
+		}
+	default:
+	}
+	r.remove(key, h)
+
+	return true
+}
+
+func (r *Registry) remove(key string, h held) {
+	delete(r.entries, key)
+	switch h.record.Kind {
+	case Upstream:
+		u := h.record.Upstream
+		r.note(event.Event{Kind: event.Upstream, Reason: reason.Lapsed, Service: u.Service, Upstream: u.ID, Zone: u.Zone})
+	case Daemon:
+		r.note(event.Event{Kind: event.Member, Reason: reason.Lapsed, Detail: h.record.Member.Name})
+	case ZoneOut:
+		r.note(event.Event{Kind: event.Zone, Zone: h.record.Zone, Detail: "back"})
+	default:
+	}
+}
+
+// forget removes the entries that were believed for long enough after they vanished.
+func (r *Registry) forget(now clock.Milli) bool {
+	changed := false
+	for key, h := range r.entries {
+		if h.until != 0 && now >= h.until {
+			r.remove(key, h)
+			changed = true
+		}
+	}
+
+	return changed
+}
+
+func (r *Registry) publish(now clock.Milli) {
+	var config *catalog.Config
+	var upstreams []*catalog.Upstream
+	var members []Member
+	out := make(map[string]bool)
+	for _, h := range r.entries {
+		switch h.record.Kind {
+		case Config:
+			config = h.record.Config
+		case Upstream:
+			upstreams = append(upstreams, h.record.Upstream)
+		case ZoneOut:
+			out[h.record.Zone] = true
+		case Daemon:
+			members = append(members, h.record.Member)
+		default:
+		}
+	}
+	slices.SortFunc(members, func(a, b Member) int { return strings.Compare(a.Name, b.Name) })
+	r.state.Store(&State{
+		View: catalog.NewView(config, upstreams, out), Members: members, Revision: r.after, At: now,
+	})
+}
+
+// failed takes a call that failed.
+func (r *Registry) failed(err error) {
+	now := r.ports.Now()
+	r.backoff = min(backoffLast, max(backoffFirst, 2*r.backoff))
+	r.troubled = now + grace
+	word := reason.Store
+	if refusal, ok := err.(*reason.Refusal); ok { //nolint:errorlint // The store returns it unwrapped.
+		word = refusal.Reason
+	}
+	if word == reason.Compacted {
+		r.loaded = false
+	}
+	if !r.lost {
+		r.lost = true
+		r.note(event.Event{Kind: event.Store, Reason: word, Revision: uint64(r.after), Detail: "lost: " + err.Error()})
+	}
+}
+
+func (r *Registry) regained() {
+	r.backoff = 0
+	if r.lost {
+		r.lost = false
+		r.troubled = r.ports.Now() + grace
+		r.note(event.Event{Kind: event.Store, Reason: reason.Store, Revision: uint64(r.after), Detail: "regained"})
+	}
+}
+
+func (r *Registry) note(e event.Event) { r.ports.Record(e) }
+
+// noteChange records what a new entry changed.
+func (r *Registry) noteChange(old, record *Record, e platform.Entry) {
+	switch record.Kind {
+	case Config:
+		r.note(event.Event{Kind: event.Revision, Revision: uint64(e.Revision), Detail: "configuration"})
+	case Upstream:
+		u := record.Upstream
+		if old.Upstream == nil || old.Upstream.Key() != u.Key() || old.Upstream.Draining != u.Draining {
+			word := reason.Word("")
+			if u.Draining {
+				word = reason.Draining
+			}
+			r.note(event.Event{
+				Kind: event.Upstream, Reason: word, Service: u.Service, Upstream: u.ID, Zone: u.Zone,
+				Version: u.Version, Revision: uint64(e.Revision),
+			})
+		}
+	case ZoneOut:
+		r.note(event.Event{Kind: event.Zone, Zone: record.Zone, Revision: uint64(e.Revision), Detail: "out"})
+	case Daemon:
+		r.note(event.Event{Kind: event.Member, Detail: record.Member.Name, Revision: uint64(e.Revision)})
+	default:
+	}
+}
+
+func pause(ctx context.Context, span clock.Milli) {
+	timer := time.NewTimer(span.Duration())
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- a/io/settings/settings.go
+++ b/io/settings/settings.go
@@ -1,7 +1,6 @@
 package settings
 
 import (
-	"encoding/json"
 	"os"
 	"regexp"
 	"sync"
@@ -88,18 +87,11 @@
 	if err != nil {
 		return Settings{}, nil, err
 	}
-	found, err := form.Check(text)
+	s := Default()
+	found, err := parse(form, text, &s)
 	if err != nil || len(found) > 0 {
 		return Settings{}, found, err
 	}
-	s := Default()
-	if err := json.Unmarshal(text, &s); err != nil {
-		if f, named := schema.TypeFault(err); named {
-			return Settings{}, []Fault{f}, nil
-		}
-
-		return Settings{}, nil, errors.Wrap(ErrSettings, err.Error())
-	}
 
 	return s, s.Check(), nil
 }
--- /dev/null
+++ b/io/socket/doc.go
@@ -0,0 +1,2 @@
+// Package socket looks at TCP connections below what package net offers.
+package socket
--- a/io/upstream/conn.go
+++ b/io/upstream/conn.go
@@ -6,7 +6,6 @@
 	"net"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -14,6 +13,7 @@
 	"jacinthferry/core/clock"
 	"jacinthferry/core/reason"
 	"jacinthferry/io/rpc"
+	"jacinthferry/io/socket"
 )
 
 // Errors of connections.
@@ -166,24 +166,8 @@
 	if secured, ok := raw.(*tls.Conn); ok {
 		raw = secured.NetConn()
 	}
-	socket, ok := raw.(syscall.Conn)
-	if !ok {
-		return true
-	}
-	control, err := socket.SyscallConn()
-	if err != nil {
-		return false
-	}
-	alive := false
-	err = control.Read(func(fd uintptr) bool {
-		var b [1]byte
-		_, _, failure := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		alive = errors.Is(failure, syscall.EAGAIN)
-
-		return true
-	})
 
-	return err == nil && alive
+	return socket.Quiet(raw)
 }
 
 // spare is how many connections a home may open beside one for each slot: for reports, for cancels
