Look again after a pause for a second upstream

Cause: when a late leg could not be sent to another upstream, the query asked to be called at a time that had passed. The timer fired without end and used up the processor's share, so that answers stalled for 150 to 550 ms (seen in the log as partial answers 366 ms after an objective of 120 ms).

Ruled out: garbage collection.

--- a/core/gather/query.go
+++ b/core/gather/query.go
@@ -44,8 +44,9 @@
 	gone    bool
 	answer  int
 	open    int
-	// retry is when to look again for an upstream, or 0.
-	retry clock.Milli
+	// due is when to look again: for an upstream while none has the request, and for a second one
+	// while the first is late.
+	due clock.Milli
 	why   reason.Word
 	// reply is set when leg answer brought a failure that may be passed on.
 	reply bool
@@ -87,7 +88,7 @@
 		return nil
 	}
 	if result.Good {
-		s.covered, s.answer, s.retry = true, number, 0
+		s.covered, s.answer = true, number
 		q.covered++
 		q.waiting--
 	} else {
@@ -106,7 +107,7 @@
 		return nil
 	}
 	for i := range q.shards {
-		if s := &q.shards[i]; s.retry != 0 && now >= s.retry {
+		if s := &q.shards[i]; s.open == 0 && now >= s.due {
 			q.try(now, i)
 		}
 	}
@@ -140,12 +141,7 @@
 		if s.covered || s.gone {
 			continue
 		}
-		if s.retry != 0 {
-			next = min(next, s.retry)
-		}
-		if s.open == 1 {
-			next = min(next, q.hedgeAt(i))
-		}
+		next = min(next, s.due)
 	}
 
 	return next
@@ -184,7 +180,6 @@
 // try sends a shard one more leg, or gives the shard up when none can bring an answer.
 func (q *Query) try(now clock.Milli, i int) {
 	s := &q.shards[i]
-	s.retry = 0
 	if s.covered || s.gone || s.open > 0 {
 		return
 	}
@@ -198,7 +193,7 @@
 		u = q.choose(now, i, q.openAt(i))
 	}
 	if u == nil {
-		s.retry = now + busyWait
+		s.due = now + busyWait
 
 		return
 	}
@@ -267,6 +262,7 @@
 	s := &q.shards[i]
 	q.legs = append(q.legs, leg{shard: i, upstream: u, at: now, open: true, ran: true})
 	s.open++
+	s.due = q.lateAt(now, s)
 	q.desk.fleet.Sent(now, s.service, u)
 	q.emit(Action{
 		Kind: Send, Number: len(q.legs) - 1, Upstream: u, Service: s.service, Deadline: q.request.Deadline, Extra: extra,
@@ -275,14 +271,20 @@
 
 // hedge asks a second upstream for the shards that are late.
 func (q *Query) hedge(now clock.Milli) {
-	if q.done || !q.route.Idempotent {
+	if q.done {
 		return
 	}
 	for i := range q.shards {
 		s := &q.shards[i]
-		if s.covered || s.gone || s.open != 1 || now < q.hedgeAt(i) || !q.mayRepeat(i) {
+		if s.covered || s.gone || s.open != 1 || now < s.due {
+			continue
+		}
+		if !q.mayRepeat(i) {
+			s.due = never
+
 			continue
 		}
+		s.due = now + busyWait
 		u := q.choose(now, i, q.ranOrOpen(i))
 		if u == nil || q.desk.fleet.Suspect(now, u) || now+q.desk.fleet.Expected(now, u) > q.end() {
 			continue
@@ -293,6 +295,16 @@
 	}
 }
 
+// lateAt returns when the leg that a shard is sent now is late. Only one second leg is sent, and
+// none of a request that may run once.
+func (q *Query) lateAt(now clock.Milli, s *shard) clock.Milli {
+	if !q.route.Idempotent || s.open > 1 {
+		return never
+	}
+
+	return now + q.patience
+}
+
 // hedgeAfter returns how long one upstream may take before another is asked.
 func (q *Query) hedgeAfter(now clock.Milli) clock.Milli {
 	usual, known := q.latency.Quantile(now, hedgeQuantile)
@@ -303,20 +315,6 @@
 	return max(hedgeSoonest, min(usual, hedgeLatest*q.route.Objective))
 }
 
-// hedgeAt returns when the only open leg of a shard is late, or never.
-func (q *Query) hedgeAt(i int) clock.Milli {
-	if !q.route.Idempotent {
-		return never
-	}
-	for n := len(q.legs) - 1; n >= 0; n-- {
-		if l := &q.legs[n]; l.shard == i && l.open {
-			return l.at + q.patience
-		}
-	}
-
-	return never
-}
-
 func (q *Query) giveUp(i int) {
 	s := &q.shards[i]
 	s.gone = true
--- /dev/null
+++ b/core/gather/query_test.go
@@ -0,0 +1,230 @@
+package gather_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+
+	"jacinthferry/core/balance"
+	"jacinthferry/core/catalog"
+	"jacinthferry/core/clock"
+	"jacinthferry/core/gather"
+	"jacinthferry/core/reason"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+const start = 1000 * clock.Second
+
+// desk is one daemon's desk over services of two upstreams each.
+type desk struct {
+	*gather.Desk
+	fleet *balance.Fleet
+	view  *catalog.View
+	route *catalog.Route
+}
+
+var policy = gather.Policy{Extra: 0.2, Slack: 50, Reserve: 5}
+
+func one() int { return 1 }
+
+// newDesk returns a desk whose route gathers from a number of shards with replicas each.
+func newDesk(shards, replicas int, route catalog.Route) *desk {
+	var services []catalog.Service
+	var upstreams []*catalog.Upstream
+	for i := range shards {
+		name := fmt.Sprintf("shard%d", i)
+		services = append(services, catalog.Service{Name: name, Connections: 26})
+		route.Shards = append(route.Shards, name)
+		for r := range replicas {
+			upstreams = append(upstreams, &catalog.Upstream{
+				ID: fmt.Sprintf("%s-%d", name, r), Service: name, Zone: fmt.Sprintf("zone%d", r), Slots: 2,
+			})
+		}
+	}
+	random := rand.New(rand.NewPCG(1, 2))
+	fleet := balance.New(balance.Rules{Zone: "zone0", Daemons: one, Uniform: random.Float64})
+	route.Host, route.Prefix = "host", "/"
+	config := catalog.NewConfig(1, 1, []catalog.Route{route}, services, catalog.Limits{})
+
+	return &desk{
+		Desk: gather.New(policy, fleet, one, random.Float64), fleet: fleet,
+		view: catalog.NewView(config, upstreams, nil), route: config.Match("host", "/"),
+	}
+}
+
+var lookup = catalog.Route{
+	Name: "lookup", Idempotent: true, Timeout: 800, Objective: 120, Attempts: 2, Top: 5, Least: 0.89,
+}
+
+func (d *desk) begin(now clock.Milli) (*gather.Query, []gather.Action) {
+	q, actions := d.Begin(now, d.view, d.route, gather.Request{
+		ID: "r", Arrived: now, Began: now, Deadline: now + d.route.Timeout,
+	})
+
+	return q, append([]gather.Action(nil), actions...)
+}
+
+var good = gather.Result{Good: true, Sent: true, Run: reason.Yes}
+
+func kinds(actions []gather.Action, kind gather.Kind) []gather.Action {
+	var list []gather.Action
+	for _, a := range actions {
+		if a.Kind == kind {
+			list = append(list, a)
+		}
+	}
+
+	return list
+}
+
+var _ = Describe("A query", func() {
+	It("asks each shard once and answers when all have", func() {
+		d := newDesk(3, 2, lookup)
+		q, sends := d.begin(start)
+		Expect(kinds(sends, gather.Send)).To(HaveLen(3))
+		Expect(q.Answered(start+10, 0, good)).To(BeEmpty())
+		Expect(q.Answered(start+11, 1, good)).To(BeEmpty())
+		end := kinds(q.Answered(start+12, 2, good), gather.Finish)
+		Expect(end).To(HaveLen(1))
+		Expect(end[0].Outcome).To(Equal(gather.Outcome{Legs: []int{0, 1, 2}}))
+		Expect(q.Done()).To(BeTrue())
+	})
+
+	It("asks to be called only later when it can do nothing now", func() {
+		// Each shard has one upstream, so that a late leg cannot be sent to another one.
+		d := newDesk(3, 1, lookup)
+		q, _ := d.begin(start)
+		calls := 0
+		for now := q.Next(); now < start+100; now = q.Next() {
+			q.Due(now)
+			calls++
+			Expect(q.Next()).To(BeNumerically(">", now))
+		}
+		Expect(calls).To(BeNumerically("<=", 30))
+	})
+
+	It("sends a late leg to another upstream once", func() {
+		d := newDesk(1, 3, lookup)
+		q, sends := d.begin(start)
+		late := kinds(q.Due(start+60), gather.Send)
+		Expect(late).To(HaveLen(1))
+		Expect(late[0].Extra).To(Equal(reason.Slow))
+		Expect(late[0].Upstream).NotTo(Equal(sends[0].Upstream))
+		Expect(kinds(q.Due(start+100), gather.Send)).To(BeEmpty())
+		end := kinds(q.Answered(start+110, late[0].Number, good), gather.Finish)
+		Expect(end).To(HaveLen(1))
+		Expect(end[0].Outcome.Legs).To(Equal([]int{1}))
+	})
+
+	It("answers with enough shards shortly before the objective", func() {
+		d := newDesk(20, 1, lookup)
+		q, _ := d.begin(start)
+		for i := range 18 {
+			Expect(q.Answered(start+20, i, good)).To(BeEmpty())
+		}
+		Expect(kinds(q.Due(start+100), gather.Finish)).To(BeEmpty())
+		end := kinds(q.Due(start+108), gather.Finish)
+		Expect(end).To(HaveLen(1))
+		Expect(end[0].Outcome.Missing).To(Equal(2))
+	})
+
+	It("does not answer with fewer shards than the route asks for", func() {
+		d := newDesk(20, 1, lookup)
+		q, _ := d.begin(start)
+		for i := range 17 {
+			q.Answered(start+20, i, good)
+		}
+		Expect(kinds(q.Due(start+400), gather.Finish)).To(BeEmpty())
+		end := kinds(q.Due(start+795), gather.Finish)
+		Expect(end).To(HaveLen(1))
+		Expect(end[0].Outcome.Refusal.Reason).To(Equal(reason.Deadline))
+		Expect(end[0].Outcome.Refusal.Run).To(Equal(reason.Unknown))
+	})
+
+	It("refuses at once as not run when too few shards have an upstream", func() {
+		d := newDesk(20, 1, lookup)
+		d.view = catalog.NewView(d.view.Config, d.view.Usable("shard0"), nil)
+		_, actions := d.begin(start)
+		Expect(kinds(actions, gather.Send)).To(BeEmpty())
+		end := kinds(actions, gather.Finish)
+		Expect(end).To(HaveLen(1))
+		Expect(end[0].Outcome.Refusal.Run).To(Equal(reason.No))
+		Expect(end[0].Outcome.Retry).To(BeNumerically(">", 0))
+		Expect(end[0].Outcome.Retry).To(BeNumerically("<=", 800.0/3))
+	})
+
+	It("tries another upstream after a failure, within the attempts", func() {
+		d := newDesk(1, 3, lookup)
+		q, sends := d.begin(start)
+		broken := gather.Result{Sent: true, Run: reason.Unknown, Reason: reason.Failed}
+		again := kinds(q.Answered(start+5, sends[0].Number, broken), gather.Send)
+		Expect(again).To(HaveLen(1))
+		end := kinds(q.Answered(start+10, again[0].Number, broken), gather.Finish)
+		Expect(end).To(HaveLen(1))
+		Expect(end[0].Outcome.Refusal.Run).To(Equal(reason.Unknown))
+	})
+
+	It("sends a request that may run once again only after it surely did not run", func() {
+		order := catalog.Route{Name: "order", Timeout: 3000, Objective: 500, Attempts: 2, Service: "shard0"}
+		for _, c := range []struct {
+			result gather.Result
+			sends  int
+		}{
+			{gather.Result{Sent: true, Run: reason.Unknown, Reason: reason.Failed}, 0},
+			{gather.Result{Sent: true, Run: reason.Yes, Reason: reason.Failed}, 0},
+			{gather.Result{Sent: true, Run: reason.No, Reason: reason.Overload}, 1},
+			{gather.Result{Run: reason.No, Reason: reason.Connection}, 1},
+		} {
+			d := newDesk(1, 3, order)
+			d.route.Shards = nil
+			q, sends := d.begin(start)
+			Expect(kinds(q.Due(start+400), gather.Send)).To(BeEmpty(), "no second leg")
+			actions := q.Answered(start+401, sends[0].Number, c.result)
+			Expect(kinds(actions, gather.Send)).To(HaveLen(c.sends), "after %v", c.result)
+		}
+	})
+
+	It("gives up its legs when the caller leaves", func() {
+		d := newDesk(3, 1, lookup)
+		q, _ := d.begin(start)
+		q.Answered(start+1, 1, good)
+		Expect(kinds(q.Abandon(start+2), gather.Cancel)).To(HaveLen(2))
+		Expect(q.Done()).To(BeTrue())
+	})
+})
+
+var _ = Describe("Top", func() {
+	It("returns the greatest records of all parts, falling, equal ones each", func() {
+		record := func(b byte) []byte {
+			r := make([]byte, gather.RecordSize)
+			r[0] = b
+
+			return r
+		}
+		join := func(list ...byte) []byte {
+			var out []byte
+			for _, b := range list {
+				out = append(out, record(b)...)
+			}
+
+			return out
+		}
+		for _, c := range []struct {
+			parts [][]byte
+			limit int
+			want  []byte
+		}{
+			{nil, 3, nil},
+			{[][]byte{join(1, 9, 4), join(9, 2)}, 3, join(9, 9, 4)},
+			{[][]byte{append(join(1), 7, 7)}, 3, join(1)},
+			{[][]byte{join(1, 2, 3, 4, 5, 6, 7, 8), join(8, 1, 9)}, 2, join(9, 8)},
+			{[][]byte{join(1, 2)}, 0, nil},
+		} {
+			Expect(gather.Top(c.parts, c.limit)).To(HaveLen(len(c.want)))
+			if len(c.want) > 0 {
+				Expect(gather.Top(c.parts, c.limit)).To(Equal(c.want))
+			}
+		}
+	})
+})
