--- a/core/gather/desk.go
+++ b/core/gather/desk.go
@@ -37,6 +37,9 @@
 	// extraUse is the part of the extra sends that this daemon allows itself: the rest is for sends
 	// that crossed the start of a window.
 	extraUse = 0.85
+	// firstPart is the part of its slack that a daemon may use at once after its start. Others may
+	// have started with it, and it knows nothing of what it sent before.
+	firstPart = 0.25
 )
 
 // Desk holds what the requests of one daemon share. It is not safe for concurrent use.
@@ -113,7 +116,7 @@
 	if b == nil {
 		burst := max(1, extraUse*d.policy.Slack/float64(max(1, d.daemons())))
 		b = budget.New(now, budget.Terms{Ratio: extraUse * d.policy.Extra, Burst: burst})
-		b.Earn(int(burst / (extraUse * d.policy.Extra)))
+		b.Earn(int(firstPart * burst / (extraUse * d.policy.Extra)))
 		d.budgets[service] = b
 	}
 
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -30,8 +30,10 @@
 	storeAck  = clock.Second
 	// reserve is the time kept back from a caller's deadline for the answer's way.
 	reserve = 5 * clock.Millisecond
-	// lastPart is the part of the grace that the end of the process takes.
-	lastPart = 0.1
+	// The end of the grace: drainTime before it no more requests are taken and those that run are
+	// waited for, and exitTime before it the process ends.
+	drainTime = 1300 * clock.Millisecond
+	exitTime  = 300 * clock.Millisecond
 	// headerTimeout bounds the reading of a request's header, headerLimit its bytes, and idleTimeout
 	// how long a caller's connection may stay unused.
 	headerTimeout = 10 * time.Second
@@ -144,14 +146,18 @@
 
 func (e *Entry) metrics(w http.ResponseWriter, _ *http.Request) { e.journal.WriteMetrics(w) }
 
-// Stop leaves the directory, serves on until the grace is nearly over, and ends.
+// Stop leaves the directory, serves on for most of the grace, finishes what runs, and ends.
 func (e *Entry) Stop(ctx context.Context) {
 	begin := time.Now()
 	e.leaving.Store(true)
 	e.lease.Leave(ctx)
 	klog.InfoS("left", "name", e.settings.Name)
-	left := (e.settings.Grace * (1 - lastPart)).Duration() - time.Since(begin)
-	time.Sleep(max(0, left))
+	time.Sleep(time.Until(begin.Add((e.settings.Grace - drainTime).Duration())))
+	ctx, cancel := context.WithDeadline(ctx, begin.Add((e.settings.Grace - exitTime).Duration()))
+	defer cancel()
+	if err := e.servers[0].Shutdown(ctx); err != nil {
+		klog.InfoS("requests cut", "name", e.settings.Name, "err", err)
+	}
 	e.Close()
 }
 
