--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -18,7 +18,7 @@
 	// failureWeight is how many times longer the expected wait is at an upstream that always fails.
 	failureWeight = 20
 	// farWeight is how many times longer the expected wait counts in another availability zone.
-	farWeight = 1.2
+	farWeight = 2
 	// reportAge is how long a reported load counts.
 	reportAge = 200 * clock.Millisecond
 	// suspectFactor is how many times its expected latency the oldest request in flight may be old
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -111,11 +111,12 @@
 	return f.answer
 }
 
-// unconfigured is after how long a caller may come back to a daemon that has no configuration.
-const unconfigured = 200 * clock.Millisecond
+// unconfigured is the part of its time left after which a caller may come back when this daemon has
+// no configuration: the longer the wait, the likelier is an answer.
+const unconfigured = 0.3
 
 func (g *Gateway) refuse(call *Call, word reason.Word) Answer {
 	g.ports.Record(event.Event{Kind: event.Refusal, Reason: word, Request: call.ID})
 
-	return Answer{Refusal: reason.New(word, reason.No, ""), Retry: unconfigured}
+	return Answer{Refusal: reason.New(word, reason.No, ""), Retry: unconfigured * call.Left}
 }
