--- a/cmd/jacinthferry/entry.go
+++ b/cmd/jacinthferry/entry.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"os"
 	"os/signal"
 	"runtime/debug"
 	"syscall"
+	"time"
 
 	"github.com/urfave/cli/v3"
 	"k8s.io/klog/v2"
@@ -38,17 +40,18 @@
 			jsonOutput(),
 		},
 		Action: func(ctx context.Context, c *cli.Command) error {
-			s, err := settings.ReadEntry(c.String("file"))
+			path := c.String("file")
+			s, err := settings.ReadEntry(path)
 			if err != nil || c.Bool("check") {
 				return err
 			}
 
-			return runEntry(ctx, s)
+			return runEntry(ctx, path, s)
 		},
 	}
 }
 
-func runEntry(ctx context.Context, s settings.Entry) error {
+func runEntry(ctx context.Context, path string, s settings.Entry) error {
 	logJSONToOutput()
 	debug.SetGCPercent(s.Growth)
 	debug.SetMemoryLimit(int64(float64(s.Memory) * memoryPart * megabyte))
@@ -58,6 +61,9 @@
 	if err != nil {
 		return err
 	}
+	watching, stop := context.WithCancel(ctx)
+	defer stop()
+	go reload(watching, path, e)
 	klog.InfoS("serving", "name", s.Name, "zone", s.Zone, "front", s.Front, "store", s.Store)
 	<-told.Done()
 	// From here on a second signal ends the process.
@@ -68,3 +74,31 @@
 
 	return nil
 }
+
+// rereadEvery is the time between two looks at the settings file, which may change without a signal.
+const rereadEvery = 5 * time.Second
+
+// reload reads the settings file again on SIGHUP and now and then. A file that cannot be used leaves
+// the settings as they are.
+func reload(ctx context.Context, path string, e *entry.Entry) {
+	hangup := make(chan os.Signal, 1)
+	signal.Notify(hangup, syscall.SIGHUP)
+	defer signal.Stop(hangup)
+	ticker := time.NewTicker(rereadEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hangup:
+		case <-ticker.C:
+		}
+		s, err := settings.ReadEntry(path)
+		if err != nil {
+			klog.InfoS("settings not reloaded", "err", err)
+
+			continue
+		}
+		e.Reload(s)
+	}
+}
--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -18,7 +18,7 @@
 	// failureWeight is how many times longer the expected wait is at an upstream that always fails.
 	failureWeight = 20
 	// farWeight is how many times longer the expected wait counts in another availability zone.
-	farWeight = 2
+	farWeight = 4
 	// reportAge is how long a reported load counts.
 	reportAge = 200 * clock.Millisecond
 	// suspectFactor is how many times its expected latency the oldest request in flight may be old
@@ -27,6 +27,10 @@
 	suspectFloor  = 25 * clock.Millisecond
 	// suspectWeight is how many times longer the expected wait counts at a suspected upstream.
 	suspectWeight = 50
+	// brokenPause is how long an upstream that cannot be connected to gets no request.
+	brokenPause = 100 * clock.Millisecond
+	// fullPause is the same for one that is full.
+	fullPause = 25 * clock.Millisecond
 	// idleAge is how long an upstream that is not registered any more is remembered.
 	idleAge = 30 * clock.Second
 )
@@ -51,7 +55,7 @@
 	warm   clock.Milli
 	tokens float64
 	filled clock.Milli
-	// shut is set until an instant before which the upstream accepts no connection.
+	// shut is until when the upstream gets no request.
 	shut clock.Milli
 }
 
@@ -157,16 +161,35 @@
 	}
 }
 
-// Failed says that a request sent at an instant failed. When retry is not zero the upstream takes
-// no request before it.
-func (f *Fleet) Failed(now, sent clock.Milli, u *catalog.Upstream, retry clock.Milli) {
+// Failed says that a request sent at an instant failed.
+func (f *Fleet) Failed(now, sent clock.Milli, u *catalog.Upstream) {
 	s := f.ended(now, sent, u)
-	if now-sent > s.latency {
+	// A failure says nothing of the latency when it comes early.
+	if now-sent > max(usual, s.latency) {
 		s.learn(now, now-sent)
 	}
 	s.failures += gain * (1 - s.failures)
 	s.at = now
-	s.shut = max(s.shut, retry)
+}
+
+// Unreachable says that no connection to the upstream was to be had for a request sent at an
+// instant. It gets no other one for a while.
+func (f *Fleet) Unreachable(now, sent clock.Milli, u *catalog.Upstream) {
+	f.Failed(now, sent, u)
+	s := f.state(now, u)
+	s.shut = max(s.shut, now+brokenPause)
+}
+
+// Full says that the upstream refused a request sent at an instant, or did not come to it in time,
+// with the load that it reported, if any. It gets no other one for a short while.
+func (f *Fleet) Full(now, sent clock.Milli, u *catalog.Upstream, load *Load) {
+	s := f.ended(now, sent, u)
+	if load != nil {
+		s.load, s.loadAt = *load, now
+	}
+	s.failures += gain * (1 - s.failures)
+	s.at = now
+	s.shut = max(s.shut, now+fullPause)
 }
 
 // Dropped says that a request sent at an instant was given up. It would have taken longer.
--- /dev/null
+++ b/core/balance/balance_test.go
@@ -0,0 +1,114 @@
+package balance_test
+
+import (
+	"jacinthferry/core/balance"
+	"jacinthferry/core/catalog"
+	"jacinthferry/core/clock"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+const start = 1000 * clock.Second
+
+var (
+	near    = &catalog.Upstream{ID: "near", Service: "s", Zone: "a", Slots: 2}
+	far     = &catalog.Upstream{ID: "far", Service: "s", Zone: "b", Slots: 2}
+	both    = []*catalog.Upstream{far, near}
+	service = catalog.Service{Name: "s", Connections: 26}
+)
+
+func none(*catalog.Upstream) bool { return false }
+
+func newFleet(daemons int) *balance.Fleet {
+	return balance.New(balance.Rules{
+		Zone: "a", Daemons: func() int { return daemons }, Uniform: func() float64 { return 0.5 },
+	})
+}
+
+// ask sends a request and has it answered after a span.
+func ask(f *balance.Fleet, now clock.Milli, u *catalog.Upstream, span clock.Milli) {
+	f.Sent(now, service, u)
+	f.Answered(now+span, now, u, nil)
+}
+
+var _ = Describe("A fleet", func() {
+	It("prefers its own availability zone", func() {
+		f := newFleet(7)
+		Expect(f.Choose(start, service, both, none)).To(Equal(near))
+		Expect(f.Choose(start, service, both, func(u *catalog.Upstream) bool { return u == near })).To(Equal(far))
+	})
+
+	It("goes to another zone when the near upstream is much slower", func() {
+		f := newFleet(7)
+		ask(f, start, near, 200)
+		ask(f, start, far, 10)
+		Expect(f.Choose(start+200, service, both, none)).To(Equal(far))
+	})
+
+	It("avoids an upstream whose oldest request is late, until it answers", func() {
+		f := newFleet(7)
+		ask(f, start, near, 10)
+		ask(f, start, far, 10)
+		f.Sent(start+20, service, near)
+		Expect(f.Suspect(start+30, near)).To(BeFalse())
+		Expect(f.Choose(start+30, service, both, none)).To(Equal(near))
+		Expect(f.Suspect(start+100, near)).To(BeTrue())
+		Expect(f.Choose(start+100, service, both, none)).To(Equal(far))
+		f.Answered(start+101, start+20, near, nil)
+		Expect(f.Suspect(start+101, near)).To(BeFalse())
+	})
+
+	It("sends nothing for a while to an upstream that refused or cannot be reached", func() {
+		for _, c := range []struct {
+			name  string
+			fail  func(f *balance.Fleet)
+			pause clock.Milli
+		}{
+			{"full", func(f *balance.Fleet) { f.Full(start+1, start, near, nil) }, 25},
+			{"full with a free slot", func(f *balance.Fleet) {
+				f.Full(start+1, start, near, &balance.Load{Slots: 2})
+			}, 25},
+			{"unreachable", func(f *balance.Fleet) { f.Unreachable(start+1, start, near) }, 100},
+		} {
+			f := newFleet(7)
+			only := []*catalog.Upstream{near}
+			f.Sent(start, service, near)
+			c.fail(f)
+			Expect(f.Choose(start+c.pause, service, only, none)).To(BeNil(), c.name)
+			Expect(f.Choose(start+c.pause+2, service, only, none)).To(Equal(near), c.name)
+			Expect(f.Choose(start+c.pause+2, service, both, none)).To(Equal(far), "%s: it counts as failing", c.name)
+		}
+	})
+
+	It("keeps its part of the connections that an upstream accepts", func() {
+		f := newFleet(7)
+		only := []*catalog.Upstream{near}
+		sent := 0
+		for f.Choose(start, service, only, none) != nil {
+			f.Sent(start, service, near)
+			sent++
+		}
+		Expect(sent * 7).To(BeNumerically("<=", 26))
+		Expect(sent).To(Equal(3))
+	})
+
+	It("keeps all daemons together within the rate that a cold upstream bears", func() {
+		const daemons, rate = 7, 40
+		cold := catalog.Service{Name: "s", Rate: rate}
+		young := &catalog.Upstream{ID: "young", Zone: "a", Slots: 200, Seen: start, Warmup: 3 * clock.Second}
+		total := 0
+		for range daemons {
+			f := newFleet(daemons)
+			for now := start; now < start+clock.Second; now++ {
+				if f.Choose(now, cold, []*catalog.Upstream{young}, none) != nil {
+					f.Sent(now, cold, young)
+					f.Answered(now, now, young, nil)
+					total++
+				}
+			}
+		}
+		Expect(total).To(BeNumerically("<=", rate*1.5+5))
+		Expect(total).To(BeNumerically(">", rate/2))
+	})
+})
--- a/core/gather/desk.go
+++ b/core/gather/desk.go
@@ -62,6 +62,15 @@
 	}
 }
 
+// SetPolicy changes the policy. Budgets start anew under it.
+func (d *Desk) SetPolicy(p Policy) {
+	if p == d.policy {
+		return
+	}
+	d.policy = p
+	clear(d.budgets)
+}
+
 // Begin starts a request on a route and returns its first actions. They are valid until the next
 // call to the desk or one of its queries.
 func (d *Desk) Begin(now clock.Milli, view *catalog.View, route *catalog.Route, request Request) (*Query, []Action) {
@@ -187,8 +196,8 @@
 	// Legs are the numbers of those whose answers the caller gets: one for each shard that is
 	// covered, or the one whose answer is passed on.
 	Legs []int
-	// Missing is how many shards are not covered.
-	Missing int
+	// Missing are the services of the shards that are not covered.
+	Missing []string
 	// Refusal is set when there is no such answer, and Retry when the caller may come back.
 	Refusal *reason.Refusal
 	Retry   clock.Milli
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -43,7 +43,7 @@
 
 // Entry is one running entry daemon.
 type Entry struct {
-	settings settings.Entry
+	settings atomic.Pointer[settings.Entry]
 	journal  *journal.Journal
 	registry *registry.Registry
 	lease    *registry.Lease
@@ -57,7 +57,8 @@
 func Start(ctx context.Context, s settings.Entry) (*Entry, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	now := timer.New()
-	e := &Entry{settings: s, cancel: cancel, journal: journal.New(s.Name, journalSize, now)}
+	e := &Entry{cancel: cancel, journal: journal.New(s.Name, journalSize, now)}
+	e.settings.Store(&s)
 	store := &http.Client{Transport: &http.Transport{DialContext: socket.Dialer(storeDial, storeAck).DialContext}}
 	ports := registry.Ports{
 		Now: now, Store: platform.NewStore(s.Store, store), Decode: platform.Decode, Record: e.journal.Record,
@@ -67,7 +68,7 @@
 	e.gateway = gateway.New(gateway.Ports{
 		Now: now, View: e.registry.View, Daemons: e.registry.Daemons, Codec: platform.Codec(),
 		Record: e.journal.Record, Zone: s.Zone,
-		Policy: gather.Policy{Extra: s.Repeats.Ratio, Slack: s.Repeats.Slack, Reserve: reserve},
+		Policy: policy(s),
 	})
 	front := &platform.Front{
 		Now: now, Serve: e.gateway.Serve, Limits: e.gateway.Limits, Leaving: e.leaving.Load,
@@ -84,16 +85,36 @@
 	return e, nil
 }
 
+func policy(s settings.Entry) gather.Policy {
+	return gather.Policy{Extra: s.Repeats.Ratio, Slack: s.Repeats.Slack, Reserve: reserve}
+}
+
+// Reload takes new settings. Those that a running process cannot change, such as addresses, stay as
+// they are until the next start, and are named in the log.
+func (e *Entry) Reload(s settings.Entry) {
+	old := *e.settings.Load()
+	if s == old {
+		return
+	}
+	kept := s
+	kept.Name, kept.Zone, kept.Store = old.Name, old.Zone, old.Store
+	kept.Front, kept.Ready, kept.Directory, kept.Metrics = old.Front, old.Ready, old.Directory, old.Metrics
+	e.settings.Store(&kept)
+	e.gateway.SetPolicy(policy(kept))
+	klog.InfoS("reloaded", "name", old.Name, "needs restart", kept != s)
+}
+
 // listen opens the listeners.
 func (e *Entry) listen(front http.Handler) error {
+	s := e.settings.Load()
 	listeners := []struct {
 		address string
 		handler http.Handler
 	}{
-		{e.settings.Front, front},
-		{e.settings.Ready, platform.Ready(e.Ready)},
-		{e.settings.Directory, platform.Directory(e.addresses)},
-		{e.settings.Metrics, http.HandlerFunc(e.metrics)},
+		{s.Front, front},
+		{s.Ready, platform.Ready(e.Ready)},
+		{s.Directory, platform.Directory(e.addresses)},
+		{s.Metrics, http.HandlerFunc(e.metrics)},
 	}
 	for _, l := range listeners {
 		if l.address == "" {
@@ -120,43 +141,43 @@
 	return !e.leaving.Load() && view != nil && view.Config != nil
 }
 
-// addresses names the daemons for callers in an availability zone: those of the zone when there are
-// several, and all of them otherwise.
+// addressLimit is how many addresses a caller takes at most.
+const addressLimit = 64
+
+// addresses names the daemons for callers in an availability zone, those of the zone first. Others
+// follow, so that a caller has somewhere to go when its zone is lost.
 func (e *Entry) addresses(zone string) platform.Addresses {
 	state := e.registry.State()
 	if state == nil {
 		return platform.Addresses{}
 	}
-	var near, all []string
+	var near, far []string
 	for _, m := range state.Members {
-		all = append(all, m.Front)
 		if m.Zone == zone {
 			near = append(near, m.Front)
+		} else {
+			far = append(far, m.Front)
 		}
 	}
-	if len(near) >= nearEnough {
-		all = near
-	}
+	all := append(near, far...)
 
-	return platform.Addresses{List: all, Keep: e.settings.Keep}
+	return platform.Addresses{List: all[:min(len(all), addressLimit)], Keep: e.settings.Load().Keep}
 }
 
-// nearEnough is how many daemons a caller's availability zone needs to be named alone.
-const nearEnough = 2
-
 func (e *Entry) metrics(w http.ResponseWriter, _ *http.Request) { e.journal.WriteMetrics(w) }
 
 // Stop leaves the directory, serves on for most of the grace, finishes what runs, and ends.
 func (e *Entry) Stop(ctx context.Context) {
 	begin := time.Now()
+	s := e.settings.Load()
 	e.leaving.Store(true)
 	e.lease.Leave(ctx)
-	klog.InfoS("left", "name", e.settings.Name)
-	time.Sleep(time.Until(begin.Add((e.settings.Grace - drainTime).Duration())))
-	ctx, cancel := context.WithDeadline(ctx, begin.Add((e.settings.Grace - exitTime).Duration()))
+	klog.InfoS("left", "name", s.Name)
+	time.Sleep(time.Until(begin.Add((s.Grace - drainTime).Duration())))
+	ctx, cancel := context.WithDeadline(ctx, begin.Add((s.Grace - exitTime).Duration()))
 	defer cancel()
 	if err := e.servers[0].Shutdown(ctx); err != nil {
-		klog.InfoS("requests cut", "name", e.settings.Name, "err", err)
+		klog.InfoS("requests cut", "name", s.Name, "err", err)
 	}
 	e.Close()
 }
--- a/io/gateway/flight.go
+++ b/io/gateway/flight.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"time"
 
 	"jacinthferry/core/catalog"
@@ -222,9 +223,9 @@
 		parts = append(parts, f.replies[number].Body)
 		stamps = append(stamps, f.replies[number].Stamp)
 	}
-	f.answer = Answer{Stamps: stamps, Missing: outcome.Missing, Body: gather.Top(parts, f.route.Top)}
-	if outcome.Missing > 0 {
-		f.note(now, event.Partial, reason.Coverage, fmt.Sprintf("%d shards missing", outcome.Missing))
+	f.answer = Answer{Stamps: stamps, Missing: len(outcome.Missing), Body: gather.Top(parts, f.route.Top)}
+	if len(outcome.Missing) > 0 {
+		f.note(now, event.Partial, reason.Coverage, "without "+strings.Join(outcome.Missing, " "))
 	}
 }
 
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -50,6 +50,13 @@
 	}
 }
 
+// SetPolicy changes the limits of the requests that begin from now on.
+func (g *Gateway) SetPolicy(p gather.Policy) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.desk.SetPolicy(p)
+}
+
 // Run drops what nothing needs any more until ctx ends.
 func (g *Gateway) Run(ctx context.Context) {
 	ticker := time.NewTicker(pruneEvery)
