Send nothing more to an upstream whose address another process has

One 421 now ends the use of that upstream. - A daemon that knew no others yet took the whole slack of extra sends for good.

--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -29,6 +29,9 @@
 	suspectWeight = 50
 	// brokenPause is how long an upstream that cannot be connected to gets no request.
 	brokenPause = 100 * clock.Millisecond
+	// replacedPause is the same for one whose address another process has. Its entry lapses long
+	// before.
+	replacedPause = clock.Minute
 	// fullPause is the same for one that is full.
 	fullPause = 25 * clock.Millisecond
 	// idleAge is how long an upstream that is not registered any more is remembered.
@@ -180,6 +183,14 @@
 	s.shut = max(s.shut, now+brokenPause)
 }
 
+// Replaced says that another process answered at the upstream's address, to a request sent at an
+// instant. The upstream has ended, whatever its entry says.
+func (f *Fleet) Replaced(now, sent clock.Milli, u *catalog.Upstream) {
+	s := f.ended(now, sent, u)
+	s.at = now
+	s.shut = now + replacedPause
+}
+
 // Full says that the upstream refused a request sent at an instant, or did not come to it in time,
 // with the load that it reported, if any. It gets no other one for a short while.
 func (f *Fleet) Full(now, sent clock.Milli, u *catalog.Upstream, load *Load) {
--- a/core/balance/balance_test.go
+++ b/core/balance/balance_test.go
@@ -81,6 +81,15 @@
 		}
 	})
 
+	It("sends nothing more to an upstream whose address another process has", func() {
+		f := newFleet(7)
+		f.Sent(start, service, near)
+		f.Replaced(start+1, start, near)
+		for _, later := range []clock.Milli{2, 1000, 10_000} {
+			Expect(f.Choose(start+later, service, []*catalog.Upstream{near}, none)).To(BeNil())
+		}
+	})
+
 	It("keeps its part of the connections that an upstream accepts", func() {
 		f := newFleet(7)
 		only := []*catalog.Upstream{near}
--- a/core/budget/budget.go
+++ b/core/budget/budget.go
@@ -29,6 +29,12 @@
 	b.tokens = min(b.tokens+b.terms.Ratio*float64(legs), b.terms.Burst)
 }
 
+// Limit changes how many extra legs can be saved up. What is saved up beyond it is lost.
+func (b *Bucket) Limit(burst float64) {
+	b.terms.Burst = burst
+	b.tokens = min(b.tokens, burst)
+}
+
 // Has reports whether the budget allows one extra leg.
 func (b *Bucket) Has(now clock.Milli) bool {
 	if b.terms.Floor > 0 && now > b.at {
--- a/core/gather/desk.go
+++ b/core/gather/desk.go
@@ -121,13 +121,16 @@
 
 // budget returns this daemon's part of the extra sends to a service.
 func (d *Desk) budget(now clock.Milli, service string) *budget.Bucket {
+	burst := max(1, extraUse*d.policy.Slack/float64(max(1, d.daemons())))
 	b := d.budgets[service]
-	if b == nil {
-		burst := max(1, extraUse*d.policy.Slack/float64(max(1, d.daemons())))
-		b = budget.New(now, budget.Terms{Ratio: extraUse * d.policy.Extra, Burst: burst})
-		b.Earn(int(firstPart * burst / (extraUse * d.policy.Extra)))
-		d.budgets[service] = b
+	if b != nil {
+		b.Limit(burst)
+
+		return b
 	}
+	b = budget.New(now, budget.Terms{Ratio: extraUse * d.policy.Extra, Burst: burst})
+	b.Earn(int(firstPart * burst / (extraUse * d.policy.Extra)))
+	d.budgets[service] = b
 
 	return b
 }
--- a/core/gather/query.go
+++ b/core/gather/query.go
@@ -161,6 +161,8 @@
 		fleet.Dropped(now, l.at, l.upstream)
 	case result.Reason == reason.Overload || (result.Sent && now >= q.legDeadline()):
 		fleet.Full(now, l.at, l.upstream, result.Load)
+	case result.Reason == reason.Incarnation:
+		fleet.Replaced(now, l.at, l.upstream)
 	case !result.Sent:
 		fleet.Unreachable(now, l.at, l.upstream)
 	default:
--- a/core/gather/query_test.go
+++ b/core/gather/query_test.go
@@ -218,6 +218,44 @@
 	})
 })
 
+var _ = Describe("Extra sends", func() {
+	// late runs a query whose only leg is late and returns how many more were sent.
+	late := func(d *desk, now clock.Milli) int {
+		q, sends := d.begin(now)
+		sends = append(sends, kinds(q.Due(now+60), gather.Send)...)
+		for _, a := range sends {
+			q.Answered(now+70, a.Number, good)
+		}
+
+		return len(sends) - 1
+	}
+
+	It("stay within the part of the slack of a daemon among those that it knows of now", func() {
+		daemons := 1
+		random := rand.New(rand.NewPCG(1, 2))
+		d := newDesk(1, 2, lookup)
+		d.Desk = gather.New(policy, d.fleet, func() int { return daemons }, random.Float64)
+		late(d, start)
+		// The others appear only after the first request.
+		daemons = 7
+		const queries = 900
+		extra := 0
+		for i := range queries {
+			now := start + clock.Milli(i+1)*10
+			if i < queries/2 {
+				// What the first half does not use may be saved up, within the slack.
+				q, sends := d.begin(now)
+				q.Answered(now+1, sends[0].Number, good)
+
+				continue
+			}
+			extra += late(d, now)
+		}
+		Expect(extra).To(BeNumerically("<=", int(queries/2*policy.Extra+policy.Slack/7)))
+		Expect(extra).To(BeNumerically(">", queries/2*policy.Extra/2), "and are used")
+	})
+})
+
 var _ = Describe("Top", func() {
 	It("returns the greatest records of all parts, falling, equal ones each", func() {
 		record := func(b byte) []byte {
