Speak to the store through one client, the platform's

The product had a store protocol of its own making, from before the platform's pages came. Its client, handler and wire types are gone. io/store keeps the port; platform/ has the only client, and the handler with which the stand-in serves the published calls, so that every test of daemons and of the ledger runs over them. Calls are counted under the published names; a renewal counts as a read.

--- a/cmd/jacinthferry/command_test.go
+++ b/cmd/jacinthferry/command_test.go
@@ -77,7 +77,7 @@
 		{[]string{"check", "--colour"}, "colour"},
 		{[]string{"zone", "out", "--operator", "127.0.0.1:1"}, "want the name of one zone"},
 		{[]string{"zone"}, "want a subcommand"},
-		{[]string{"schema", "nothing"}, "want config or settings"},
+		{[]string{"schema", "nothing"}, "want config, settings or entry"},
 	} {
 		It("exits 2 for "+strings.Join(t.args, " "), func(ctx SpecContext) {
 			r := command(ctx, t.args...)
--- a/io/control/control.go
+++ b/io/control/control.go
@@ -14,14 +14,14 @@
 	"jacinthferry/core/route"
 	"jacinthferry/core/spread"
 	"jacinthferry/io/peer"
-	"jacinthferry/io/platform"
+	"jacinthferry/io/store"
 	"jacinthferry/io/upstream"
 )
 
 // Ports are what the control thread needs from the rest of the daemon.
 type Ports struct {
 	Self  member.Member
-	Store platform.Store
+	Store store.Store
 	Now   func() clock.Milli
 	// Report asks an upstream about itself.
 	Report func(context.Context, config.Upstream) (upstream.Report, error)
--- a/io/control/fleet_test.go
+++ b/io/control/fleet_test.go
@@ -15,15 +15,15 @@
 	"jacinthferry/core/route"
 	"jacinthferry/io/control"
 	"jacinthferry/io/peer"
-	"jacinthferry/io/platform"
+	"jacinthferry/io/store"
 	"jacinthferry/io/timer"
 	"jacinthferry/io/upstream"
 	standin "jacinthferry/standin/platform"
 )
 
-// store is the stand-in with faults and counts.
-type store struct {
-	platform.Store
+// fakeStore is the stand-in with faults and counts.
+type fakeStore struct {
+	store.Store
 	down   atomic.Bool
 	calls  atomic.Int64
 	writes atomic.Int64
@@ -35,17 +35,17 @@
 
 var errDown = reason.New(reason.Connection, reason.No, "the store is down")
 
-func newStore(now func() clock.Milli) *store {
+func newStore(now func() clock.Milli) *fakeStore {
 	inner := standin.New(now).Platform()
-	s := &store{Store: inner}
-	s.Get = func(ctx context.Context, key string) (platform.Entry, error) {
+	s := &fakeStore{Store: inner}
+	s.Get = func(ctx context.Context, key string) (store.Entry, error) {
 		if err := s.call(); err != nil {
-			return platform.Entry{}, err
+			return store.Entry{}, err
 		}
 
 		return inner.Get(ctx, key)
 	}
-	s.List = func(ctx context.Context, prefix string) ([]platform.Entry, int64, error) {
+	s.List = func(ctx context.Context, prefix string) ([]store.Entry, int64, error) {
 		if err := s.call(); err != nil {
 			return nil, 0, err
 		}
@@ -54,7 +54,7 @@
 	}
 	s.Watch = func(
 		ctx context.Context, prefix string, after int64, wait clock.Milli,
-	) ([]platform.Entry, int64, error) {
+	) ([]store.Entry, int64, error) {
 		if err := s.call(); err != nil {
 			return nil, 0, err
 		}
@@ -73,9 +73,9 @@
 
 		return nil, after, nil
 	}
-	s.Put = func(ctx context.Context, key, value string, expect int64, lease string) (platform.Write, error) {
+	s.Put = func(ctx context.Context, key, value string, expect int64, lease string) (store.Write, error) {
 		if err := s.call(); err != nil {
-			return platform.Write{}, err
+			return store.Write{}, err
 		}
 		s.writes.Add(1)
 		if key == control.HeadKey {
@@ -85,36 +85,36 @@
 		}
 		w, err := inner.Put(ctx, key, value, expect, lease)
 		if key == control.HeadKey && s.lose.Add(-1) >= 0 {
-			return platform.Write{}, reason.New(reason.Deadline, reason.Unknown, "the answer was lost")
+			return store.Write{}, reason.New(reason.Deadline, reason.Unknown, "the answer was lost")
 		}
 
 		return w, err
 	}
-	s.Delete = func(ctx context.Context, key string, expect int64) (platform.Write, error) {
+	s.Delete = func(ctx context.Context, key string, expect int64) (store.Write, error) {
 		if err := s.call(); err != nil {
-			return platform.Write{}, err
+			return store.Write{}, err
 		}
 		s.writes.Add(1)
 
 		return inner.Delete(ctx, key, expect)
 	}
-	s.Grant = func(ctx context.Context, span clock.Milli) (platform.Lease, error) {
+	s.Grant = func(ctx context.Context, span clock.Milli) (store.Lease, error) {
 		if err := s.call(); err != nil {
-			return platform.Lease{}, err
+			return store.Lease{}, err
 		}
 		s.writes.Add(1)
 
 		return inner.Grant(ctx, span)
 	}
-	s.Renew = func(ctx context.Context, lease string) (platform.Lease, error) {
+	s.Renew = func(ctx context.Context, lease string) (store.Lease, error) {
 		if err := s.call(); err != nil {
-			return platform.Lease{}, err
+			return store.Lease{}, err
 		}
 		s.writes.Add(1)
 
 		return inner.Renew(ctx, lease)
 	}
-	s.Instances = func(ctx context.Context) ([]platform.Instance, error) {
+	s.Instances = func(ctx context.Context) ([]store.Instance, error) {
 		if err := s.call(); err != nil {
 			return nil, err
 		}
@@ -125,7 +125,7 @@
 	return s
 }
 
-func (s *store) call() error {
+func (s *fakeStore) call() error {
 	s.calls.Add(1)
 	if s.down.Load() {
 		return errDown
@@ -137,7 +137,7 @@
 // fleet is control threads that talk to each other through memory.
 type fleet struct {
 	now     func() clock.Milli
-	store   *store
+	store   *fakeStore
 	ctx     context.Context
 	mu      sync.RWMutex
 	nodes   map[string]*node
--- a/io/control/repository.go
+++ b/io/control/repository.go
@@ -9,7 +9,7 @@
 
 	"jacinthferry/core/manifest"
 	"jacinthferry/core/reason"
-	"jacinthferry/io/platform"
+	"jacinthferry/io/store"
 )
 
 // The keys under which the store holds the configuration.
@@ -25,7 +25,7 @@
 const pagesKept = 2000
 
 // repository reads and writes the configuration in the store.
-type repository struct{ store platform.Store }
+type repository struct{ store store.Store }
 
 // errMoved says that a part is gone because a later revision took the place of the head read.
 var errMoved = errors.New("control: the head moved on")
@@ -83,7 +83,7 @@
 		if old.Part(name) != "" {
 			continue
 		}
-		if _, err := r.store.Put(ctx, PartPrefix+name, next.Part(name), platform.Any, ""); err != nil {
+		if _, err := r.store.Put(ctx, PartPrefix+name, next.Part(name), store.Any, ""); err != nil {
 			return nil, err
 		}
 	}
@@ -95,7 +95,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "control: cannot encode a page of history")
 	}
-	_, err = r.store.Put(ctx, pageKey(next.Head.Pages), string(text), platform.Any, "")
+	_, err = r.store.Put(ctx, pageKey(next.Head.Pages), string(text), store.Any, "")
 
 	return next, err
 }
@@ -125,7 +125,7 @@
 }
 
 // lost finds out whether an attempt whose answers were lost took effect after all.
-func (r repository) lost(next *manifest.Snapshot, current platform.Entry, sent bool) (*manifest.Snapshot, error) {
+func (r repository) lost(next *manifest.Snapshot, current store.Entry, sent bool) (*manifest.Snapshot, error) {
 	head, err := manifest.DecodeHead(current.Value, current.Revision)
 	if err != nil {
 		run := reason.No
@@ -157,7 +157,7 @@
 func (r repository) withdraw(ctx context.Context, old, lost *manifest.Snapshot) {
 	for _, name := range lost.Head.Parts {
 		if old.Part(name) == "" {
-			_, _ = r.store.Delete(ctx, PartPrefix+name, platform.Any)
+			_, _ = r.store.Delete(ctx, PartPrefix+name, store.Any)
 		}
 	}
 }
@@ -167,12 +167,12 @@
 	if old != nil {
 		for _, name := range old.Head.Parts {
 			if next.Part(name) == "" {
-				_, _ = r.store.Delete(ctx, PartPrefix+name, platform.Any)
+				_, _ = r.store.Delete(ctx, PartPrefix+name, store.Any)
 			}
 		}
 	}
 	if gone := next.Head.Pages - pagesKept; gone > 0 && pages(old) != next.Head.Pages {
-		_, _ = r.store.Delete(ctx, pageKey(gone), platform.Any)
+		_, _ = r.store.Delete(ctx, pageKey(gone), store.Any)
 	}
 }
 
--- a/io/control/store.go
+++ b/io/control/store.go
@@ -13,7 +13,7 @@
 	"jacinthferry/core/event"
 	"jacinthferry/core/member"
 	"jacinthferry/core/reason"
-	"jacinthferry/io/platform"
+	"jacinthferry/io/store"
 )
 
 // seatPrefix begins the keys of daemons' seats.
@@ -66,7 +66,7 @@
 // sit keeps this daemon's seat in the store until ctx ends. It never tries more often than it
 // renews, so that an outage costs the store no more calls than its absence does.
 func (c *Control) sit(ctx context.Context) {
-	var lease platform.Lease
+	var lease store.Lease
 	for ctx.Err() == nil && !c.stopping() {
 		var err error
 		if lease.Live {
@@ -85,18 +85,18 @@
 	}
 }
 
-func (c *Control) takeSeat(ctx context.Context) (platform.Lease, error) {
+func (c *Control) takeSeat(ctx context.Context) (store.Lease, error) {
 	self := c.ports.Self
 	epoch, _ := c.Tenure()
 	value, err := json.Marshal(seat{self.Name, self.Zone, self.Caller, self.Peer, self.Operator, epoch})
 	if err != nil {
-		return platform.Lease{}, err
+		return store.Lease{}, err
 	}
 	lease, err := c.ports.Store.Grant(ctx, c.lease())
 	if err != nil {
-		return platform.Lease{}, err
+		return store.Lease{}, err
 	}
-	_, err = c.ports.Store.Put(ctx, seatPrefix+self.Name, string(value), platform.Any, lease.ID)
+	_, err = c.ports.Store.Put(ctx, seatPrefix+self.Name, string(value), store.Any, lease.ID)
 
 	return lease, err
 }
@@ -184,7 +184,7 @@
 func (c *Control) seats(ctx context.Context) {
 	after := int64(0)
 	c.turn(ctx, func() error {
-		var entries []platform.Entry
+		var entries []store.Entry
 		var err error
 		if after == 0 {
 			entries, after, err = c.ports.Store.List(ctx, seatPrefix)
@@ -206,7 +206,7 @@
 }
 
 // seated brings seats that changed.
-type seated struct{ entries []platform.Entry }
+type seated struct{ entries []store.Entry }
 
 func (e seated) apply(c *Control) {
 	now := c.ports.Now()
@@ -243,7 +243,7 @@
 }
 
 // listed brings the list of instances.
-type listed struct{ list []platform.Instance }
+type listed struct{ list []store.Instance }
 
 func (e listed) apply(c *Control) {
 	leaving := make(map[string]bool)
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -18,12 +18,13 @@
 	"jacinthferry/io/journal"
 	"jacinthferry/io/ledger"
 	"jacinthferry/io/peer"
-	"jacinthferry/io/platform"
 	"jacinthferry/io/rpc"
 	"jacinthferry/io/secure"
 	"jacinthferry/io/settings"
+	"jacinthferry/io/store"
 	"jacinthferry/io/timer"
 	"jacinthferry/io/traffic"
+	"jacinthferry/platform"
 )
 
 // journalSize is how many events a daemon keeps.
@@ -35,7 +36,7 @@
 	now       func() clock.Milli
 	table     atomic.Pointer[route.Table]
 	journal   *journal.Journal
-	store     platform.Store
+	store     store.Store
 	edges     edges
 	started   clock.Milli
 	upstreams *upstreams
@@ -61,7 +62,7 @@
 		return nil, err
 	}
 	d.edges, d.started = edges, d.now()
-	d.store = platform.New(s.Platform.Address, rpc.SecureClient(0, edges.platform))
+	d.store = platform.NewStore(s.Platform.Address, rpc.SecureClient(0, edges.platform))
 	d.upstreams = newUpstreams(ctx, s.Home, d.now, edges.upstream)
 	d.links = newLinks(ctx, s.Name)
 	d.links.access = peer.Access{Client: rpc.SecureClient(0, edges.peer)}
--- a/io/daemon/page_test.go
+++ b/io/daemon/page_test.go
@@ -49,7 +49,7 @@
 	})
 
 	for _, path := range []string{
-		"io/caller/wire.go", "io/operator/wire.go", "io/upstream/wire.go", "io/platform/wire.go",
+		"io/caller/wire.go", "io/operator/wire.go", "io/upstream/wire.go", "platform/store.go",
 	} {
 		It("names every procedure and field of "+path, func() {
 			found := 0
@@ -119,7 +119,7 @@
 			if e[2] != "" {
 				method = http.MethodPost
 			}
-			request, err := http.NewRequestWithContext(ctx, method, "http://"+fill.Replace(e[1]), strings.NewReader(fill.Replace(e[2])))
+			request, err := http.NewRequestWithContext(ctx, method, "http://"+strings.Trim(fill.Replace(e[1]), `"`), strings.NewReader(fill.Replace(e[2])))
 			Expect(err).NotTo(HaveOccurred())
 			request.Header.Set("Content-Type", "application/json")
 			response, err := http.DefaultClient.Do(request)
--- a/io/ledger/book.go
+++ b/io/ledger/book.go
@@ -13,13 +13,13 @@
 	"jacinthferry/core/leg"
 	"jacinthferry/core/reason"
 	"jacinthferry/core/submit"
-	"jacinthferry/io/platform"
+	"jacinthferry/io/store"
 )
 
 // Ports are what the book needs from the rest of the daemon.
 type Ports struct {
 	Now   func() clock.Milli
-	Store platform.Store
+	Store store.Store
 	// Owner must be unlike that of every other daemon and of every earlier run of this one.
 	Owner string
 	// Run sends a request to an upstream.
--- a/io/ledger/book_test.go
+++ b/io/ledger/book_test.go
@@ -13,7 +13,7 @@
 	"jacinthferry/core/reason"
 	"jacinthferry/core/submit"
 	"jacinthferry/io/ledger"
-	ioplatform "jacinthferry/io/platform"
+	"jacinthferry/io/store"
 	"jacinthferry/io/timer"
 	"jacinthferry/standin/platform"
 
@@ -23,32 +23,32 @@
 
 var _ = Describe("a book", func() {
 	var (
-		now   = timer.New()
-		store ioplatform.Store
-		down  atomic.Bool
-		puts  atomic.Int64
-		mu    sync.Mutex
-		ran   map[string]int
+		now  = timer.New()
+		port store.Store
+		down atomic.Bool
+		puts atomic.Int64
+		mu   sync.Mutex
+		ran  map[string]int
 	)
 
 	BeforeEach(func() {
 		ran = make(map[string]int)
 		down.Store(false)
 		puts.Store(0)
-		store = platform.New(now).Platform()
-		put, get := store.Put, store.Get
+		port = platform.New(now).Platform()
+		put, get := port.Put, port.Get
 		gone := reason.New(reason.Store, reason.Unknown, "down")
-		store.Put = func(ctx context.Context, key, value string, expect int64, lease string) (ioplatform.Write, error) {
+		port.Put = func(ctx context.Context, key, value string, expect int64, lease string) (store.Write, error) {
 			puts.Add(1)
 			if down.Load() {
-				return ioplatform.Write{}, gone
+				return store.Write{}, gone
 			}
 
 			return put(ctx, key, value, expect, lease)
 		}
-		store.Get = func(ctx context.Context, key string) (ioplatform.Entry, error) {
+		port.Get = func(ctx context.Context, key string) (store.Entry, error) {
 			if down.Load() {
-				return ioplatform.Entry{}, gone
+				return store.Entry{}, gone
 			}
 
 			return get(ctx, key)
@@ -59,7 +59,7 @@
 		running, cancel := context.WithCancel(context.Background())
 		DeferCleanup(cancel)
 		b := ledger.New(running, ledger.Ports{
-			Now: now, Store: store, Owner: owner, Record: func(event.Event) {},
+			Now: now, Store: port, Owner: owner, Record: func(event.Event) {},
 			Run: func(_ context.Context, r submit.Request) leg.Result {
 				mu.Lock()
 				defer mu.Unlock()
@@ -125,7 +125,7 @@
 
 	It("runs nothing on a page that it cannot read", func() {
 		r := submit.Request{ID: coreledger.NewID(now(), "a"), Body: "x"}
-		_, err := store.Put(context.Background(), coreledger.Key(r.ID), "not a page", ioplatform.Any, "")
+		_, err := port.Put(context.Background(), coreledger.Key(r.ID), "not a page", store.Any, "")
 		Expect(err).NotTo(HaveOccurred())
 		Expect(send(open("one"), r, 200).Refusal).To(HaveField("Run", reason.No))
 		Expect(ran).To(BeEmpty())
--- a/io/registry/lease.go
+++ b/io/registry/lease.go
@@ -8,7 +8,7 @@
 	"jacinthferry/core/clock"
 	"jacinthferry/core/event"
 	"jacinthferry/core/reason"
-	"jacinthferry/io/platform"
+	"jacinthferry/io/store"
 )
 
 const (
@@ -59,7 +59,7 @@
 	if err != nil {
 		return
 	}
-	if _, err := l.ports.Store.Put(ctx, l.ports.Self.key(), value, platform.Any, lease.ID); err != nil {
+	if _, err := l.ports.Store.Put(ctx, l.ports.Self.key(), value, store.Any, lease.ID); err != nil {
 		l.ports.Record(event.Event{Kind: event.Member, Reason: reason.Store, Detail: "not registered: " + err.Error()})
 
 		return
--- a/io/registry/record.go
+++ b/io/registry/record.go
@@ -6,7 +6,7 @@
 
 	"jacinthferry/core/catalog"
 	"jacinthferry/core/clock"
-	"jacinthferry/io/platform"
+	"jacinthferry/io/store"
 )
 
 // Kind tells the records of the store apart.
@@ -60,7 +60,7 @@
 }
 
 // decode reads an entry: a daemon's here, any other as the platform writes it.
-func (p *Ports) decode(e platform.Entry, now clock.Milli) (Record, error) {
+func (p *Ports) decode(e store.Entry, now clock.Milli) (Record, error) {
 	name, ok := strings.CutPrefix(e.Key, memberPrefix)
 	if !ok {
 		return p.Decode(e, now)
--- a/io/registry/registry.go
+++ b/io/registry/registry.go
@@ -12,7 +12,7 @@
 	"jacinthferry/core/clock"
 	"jacinthferry/core/event"
 	"jacinthferry/core/reason"
-	"jacinthferry/io/platform"
+	"jacinthferry/io/store"
 )
 
 const (
@@ -27,13 +27,19 @@
 	// grace is how long an entry that vanished while the store was in trouble is still believed: its
 	// owner may only have been kept from renewing its lease.
 	grace = 2500 * clock.Millisecond
+	// countSpan is for how long a daemon that is not known any more counts as one that may send.
+	countSpan = 15 * clock.Second
+	// youngSpan is how long after the start others may still be unknown, and youngDaemons how many
+	// are assumed meanwhile.
+	youngSpan    = 4 * clock.Second
+	youngDaemons = 16
 )
 
 // Ports are what a Registry needs.
 type Ports struct {
 	Now    func() clock.Milli
-	Store  platform.Store
-	Decode func(e platform.Entry, now clock.Milli) (Record, error)
+	Store  store.Store
+	Decode func(e store.Entry, now clock.Milli) (Record, error)
 	Record func(event.Event)
 	// Self is this daemon's own entry.
 	Self Member
@@ -52,6 +58,8 @@
 	View *catalog.View
 	// Members are the daemons, ordered by name.
 	Members []Member
+	// Daemons is how many daemons there may be: the most that were known within countSpan.
+	Daemons int
 	// Revision is the store's, and At when it was heard.
 	Revision int64
 	At       clock.Milli
@@ -69,11 +77,20 @@
 	troubled clock.Milli
 	backoff  clock.Milli
 	lost     bool
+	started  clock.Milli
+	// counts are the numbers of daemons that were known, oldest first.
+	counts []count
+}
+
+// count is how many daemons were known from an instant on.
+type count struct {
+	at      clock.Milli
+	daemons int
 }
 
 // New returns a registry that knows nothing yet.
 func New(ports Ports) *Registry {
-	return &Registry{ports: ports, entries: make(map[string]held)}
+	return &Registry{ports: ports, entries: make(map[string]held), started: ports.Now()}
 }
 
 // State returns the newest state, or nil before the first.
@@ -89,14 +106,18 @@
 	return s.View
 }
 
-// Daemons returns how many daemons are known, this one included.
+// Daemons returns how many daemons there may be, this one included. A registry that is young may not
+// know the others yet.
 func (r *Registry) Daemons() int {
-	s := r.state.Load()
-	if s == nil {
-		return 1
+	known := 1
+	if s := r.state.Load(); s != nil {
+		known = max(1, s.Daemons)
+	}
+	if r.ports.Now()-r.started < youngSpan {
+		return max(known, youngDaemons)
 	}
 
-	return max(1, len(s.Members))
+	return known
 }
 
 // Run follows the store until ctx ends.
@@ -162,7 +183,7 @@
 }
 
 // apply takes one entry as the store holds it and reports whether the state changed.
-func (r *Registry) apply(now clock.Milli, e platform.Entry) bool {
+func (r *Registry) apply(now clock.Milli, e store.Entry) bool {
 	old, known := r.entries[e.Key]
 	if known && e.Revision <= old.revision {
 		return false
@@ -256,10 +277,26 @@
 	}
 	slices.SortFunc(members, func(a, b Member) int { return strings.Compare(a.Name, b.Name) })
 	r.state.Store(&State{
-		View: catalog.NewView(config, upstreams, out), Members: members, Revision: r.after, At: now,
+		View: catalog.NewView(config, upstreams, out), Members: members, Daemons: r.count(now, len(members)),
+		Revision: r.after, At: now,
 	})
 }
 
+// count returns the most daemons that were known within countSpan. One whose entry lapsed may go on
+// sending for a while.
+func (r *Registry) count(now clock.Milli, daemons int) int {
+	r.counts = append(r.counts, count{now, daemons})
+	for len(r.counts) > 1 && r.counts[1].at < now-countSpan {
+		r.counts = r.counts[1:]
+	}
+	most := 0
+	for _, c := range r.counts {
+		most = max(most, c.daemons)
+	}
+
+	return most
+}
+
 // failed takes a call that failed.
 func (r *Registry) failed(err error) {
 	now := r.ports.Now()
@@ -290,7 +327,7 @@
 func (r *Registry) note(e event.Event) { r.ports.Record(e) }
 
 // noteChange records what a new entry changed.
-func (r *Registry) noteChange(old, record *Record, e platform.Entry) {
+func (r *Registry) noteChange(old, record *Record, e store.Entry) {
 	switch record.Kind {
 	case Config:
 		r.note(event.Event{Kind: event.Revision, Revision: uint64(e.Revision), Detail: "configuration"})
--- a/io/rpc/refusal.go
+++ b/io/rpc/refusal.go
@@ -125,7 +125,7 @@
 
 func code(w reason.Word) connect.Code {
 	switch w {
-	case reason.Service, reason.Snapshot:
+	case reason.Service, reason.Snapshot, reason.Route:
 		return connect.CodeNotFound
 	case reason.Invalid, reason.Reused, reason.Expired:
 		return connect.CodeInvalidArgument
--- a/io/store/doc.go
+++ b/io/store/doc.go
@@ -1,4 +1,4 @@
-// Package platform speaks with the platform: its key-value store with compare-and-swap, leases
-// and watches, and its list of instances. It has the client that a daemon uses, and a handler for
-// whoever serves a store in Go.
-package platform
+// Package store describes the key-value service that daemons share: compare-and-swap, leases and
+// watches, and a list of instances. Package platform has the client, and the stand-ins an
+// implementation in memory.
+package store
--- a/io/store/port.go
+++ b/io/store/port.go
@@ -1,4 +1,4 @@
-package platform
+package store
 
 import (
 	"context"
--- a/standin/platform/faults.go
+++ b/standin/platform/faults.go
@@ -5,15 +5,11 @@
 	"context"
 	"maps"
 	"net/http"
-	"path"
 	"slices"
 	"time"
 
 	"jacinthferry/core/clock"
-	"jacinthferry/io/platform"
-	"jacinthferry/io/rpc"
-
-	"connectrpc.com/connect"
+	"jacinthferry/platform"
 )
 
 // Outage is how the platform is away.
@@ -36,7 +32,7 @@
 	Slow clock.Milli `json:"slow,omitempty"`
 	// Lost is the share of calls that take effect and whose connection is then cut.
 	Lost float64 `json:"lost,omitempty"`
-	// Only limits Lost to calls of one kind, such as "put".
+	// Only limits Lost to calls of one kind, such as "write".
 	Only string `json:"only,omitempty"`
 	// Lag is how old the list of instances is.
 	Lag clock.Milli `json:"lag,omitempty"`
@@ -95,11 +91,10 @@
 
 // Handler returns an HTTP handler that serves the store with its faults.
 func (s *Store) Handler() http.Handler {
-	inner := platform.Handler(s.Platform())
-	refusals := connect.NewErrorWriter(rpc.HandlerOptions())
+	inner := platform.StoreHandler(s.Platform())
 
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		kind := path.Base(r.URL.Path)
+		kind := platform.StoreCall(r)
 		faults, outage := s.arrive(kind)
 		ctx, cancel := context.WithCancel(r.Context())
 		defer cancel()
@@ -110,7 +105,7 @@
 		}
 		answer := &answer{header: make(http.Header), code: http.StatusOK}
 		if err := s.allow(kind); err != nil {
-			_ = refusals.Write(w, r, rpc.Refuse(err))
+			platform.RefuseStoreCall(w, err)
 
 			return
 		}
--- a/standin/platform/instances.go
+++ b/standin/platform/instances.go
@@ -8,7 +8,7 @@
 	"strings"
 
 	"jacinthferry/core/clock"
-	"jacinthferry/io/platform"
+	"jacinthferry/io/store"
 	"jacinthferry/standin/command"
 
 	"github.com/pkg/errors"
@@ -17,7 +17,7 @@
 // change is a line of the list of instances from an instant on.
 type change struct {
 	at       clock.Milli
-	instance platform.Instance
+	instance store.Instance
 	gone     bool
 }
 
@@ -25,32 +25,32 @@
 func (s *Store) SetInstance(name string, leaving bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.instances = append(s.instances, change{at: s.now(), instance: platform.Instance{Name: name, Leaving: leaving}})
+	s.instances = append(s.instances, change{at: s.now(), instance: store.Instance{Name: name, Leaving: leaving}})
 }
 
 // RemoveInstance takes a line off the list of instances.
 func (s *Store) RemoveInstance(name string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.instances = append(s.instances, change{at: s.now(), instance: platform.Instance{Name: name}, gone: true})
+	s.instances = append(s.instances, change{at: s.now(), instance: store.Instance{Name: name}, gone: true})
 }
 
 // listInstances returns the list as it was a lag ago.
-func (s *Store) listInstances(context.Context) ([]platform.Instance, error) {
+func (s *Store) listInstances(context.Context) ([]store.Instance, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	seen := s.now() - s.faults.Lag
-	var list []platform.Instance
+	var list []store.Instance
 	for _, c := range s.instances {
 		if c.at > seen {
 			break
 		}
-		list = slices.DeleteFunc(list, func(i platform.Instance) bool { return i.Name == c.instance.Name })
+		list = slices.DeleteFunc(list, func(i store.Instance) bool { return i.Name == c.instance.Name })
 		if !c.gone {
 			list = append(list, c.instance)
 		}
 	}
-	slices.SortFunc(list, func(a, b platform.Instance) int { return strings.Compare(a.Name, b.Name) })
+	slices.SortFunc(list, func(a, b store.Instance) int { return strings.Compare(a.Name, b.Name) })
 
 	return list, nil
 }
--- a/standin/platform/limits.go
+++ b/standin/platform/limits.go
@@ -1,6 +1,9 @@
 package platform
 
-import "jacinthferry/core/reason"
+import (
+	"jacinthferry/core/reason"
+	"jacinthferry/platform"
+)
 
 // Limits are what the store takes.
 type Limits struct {
@@ -21,7 +24,7 @@
 func (s *Store) allow(kind string) error {
 	l := s.reads
 	switch kind {
-	case "put", "delete", "grant", "renew", "revoke":
+	case platform.CallWrite, platform.CallGrant, platform.CallRevoke:
 		l = s.writes
 	}
 	if l.Allow() {
--- a/standin/platform/store.go
+++ b/standin/platform/store.go
@@ -12,7 +12,7 @@
 
 	"jacinthferry/core/clock"
 	"jacinthferry/core/reason"
-	"jacinthferry/io/platform"
+	"jacinthferry/io/store"
 
 	"golang.org/x/time/rate"
 )
@@ -25,7 +25,7 @@
 }
 
 type item struct {
-	entry platform.Entry
+	entry store.Entry
 	lease string
 }
 
@@ -69,14 +69,14 @@
 }
 
 // Platform returns the calls that the store serves. Limits and faults come with Handler.
-func (s *Store) Platform() platform.Store {
-	return platform.Store{
+func (s *Store) Platform() store.Store {
+	return store.Store{
 		Get: s.get, List: s.list, Put: s.put, Delete: s.remove, Grant: s.grant, Renew: s.renew,
 		Revoke: s.revoke, Watch: s.watch, Instances: s.listInstances,
 	}
 }
 
-func (s *Store) get(_ context.Context, key string) (platform.Entry, error) {
+func (s *Store) get(_ context.Context, key string) (store.Entry, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.expire()
@@ -84,7 +84,7 @@
 	return s.items[key].entry, nil
 }
 
-func (s *Store) list(_ context.Context, prefix string) ([]platform.Entry, int64, error) {
+func (s *Store) list(_ context.Context, prefix string) ([]store.Entry, int64, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.expire()
@@ -93,8 +93,8 @@
 }
 
 // after returns the entries under prefix that changed after the revision, in order of their keys.
-func (s *Store) after(prefix string, revision int64, gone bool) []platform.Entry {
-	var list []platform.Entry
+func (s *Store) after(prefix string, revision int64, gone bool) []store.Entry {
+	var list []store.Entry
 	for key, i := range s.items {
 		if strings.HasPrefix(key, prefix) && i.entry.Revision > revision {
 			list = append(list, i.entry)
@@ -102,47 +102,47 @@
 	}
 	for key, at := range s.deleted {
 		if gone && strings.HasPrefix(key, prefix) && at > revision {
-			list = append(list, platform.Entry{Key: key, Revision: at, Deleted: true})
+			list = append(list, store.Entry{Key: key, Revision: at, Deleted: true})
 		}
 	}
-	slices.SortFunc(list, func(a, b platform.Entry) int { return strings.Compare(a.Key, b.Key) })
+	slices.SortFunc(list, func(a, b store.Entry) int { return strings.Compare(a.Key, b.Key) })
 
 	return list
 }
 
-func (s *Store) put(_ context.Context, key, value string, expect int64, lease string) (platform.Write, error) {
+func (s *Store) put(_ context.Context, key, value string, expect int64, lease string) (store.Write, error) {
 	if len(value) > valueLimit {
-		return platform.Write{}, reason.New(reason.Size, reason.No, "value over 1 MB")
+		return store.Write{}, reason.New(reason.Size, reason.No, "value over 1 MB")
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.expire()
 	current := s.items[key].entry
-	if expect != platform.Any && expect != current.Revision {
-		return platform.Write{Revision: s.revision, Current: current}, nil
+	if expect != store.Any && expect != current.Revision {
+		return store.Write{Revision: s.revision, Current: current}, nil
 	}
 	if _, live := s.leases[lease]; lease != "" && !live {
-		return platform.Write{}, reason.New(reason.Invalid, reason.No, "no such lease")
+		return store.Write{}, reason.New(reason.Lapsed, reason.No, "no such lease")
 	}
 	s.revision++
-	s.items[key] = item{platform.Entry{Key: key, Value: value, Revision: s.revision}, lease}
+	s.items[key] = item{store.Entry{Key: key, Value: value, Revision: s.revision}, lease}
 	delete(s.deleted, key)
 	s.wake()
 
-	return platform.Write{Done: true, Revision: s.revision}, nil
+	return store.Write{Done: true, Revision: s.revision}, nil
 }
 
-func (s *Store) remove(_ context.Context, key string, expect int64) (platform.Write, error) {
+func (s *Store) remove(_ context.Context, key string, expect int64) (store.Write, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.expire()
 	current := s.items[key].entry
-	if current.Revision == 0 || (expect != platform.Any && expect != current.Revision) {
-		return platform.Write{Revision: s.revision, Current: current}, nil
+	if current.Revision == 0 || (expect != store.Any && expect != current.Revision) {
+		return store.Write{Revision: s.revision, Current: current}, nil
 	}
 	s.drop(key)
 
-	return platform.Write{Done: true, Revision: s.revision}, nil
+	return store.Write{Done: true, Revision: s.revision}, nil
 }
 
 func (s *Store) drop(key string) {
@@ -163,17 +163,17 @@
 	maps.DeleteFunc(s.deleted, func(_ string, at int64) bool { return at <= oldest })
 }
 
-func (s *Store) grant(_ context.Context, span clock.Milli) (platform.Lease, error) {
+func (s *Store) grant(_ context.Context, span clock.Milli) (store.Lease, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.revision++
-	id := "lease-" + strconv.FormatInt(s.revision, 10)
+	id := strconv.FormatInt(s.revision, 10)
 	s.leases[id] = lease{span: span, ends: s.now() + span}
 
-	return platform.Lease{ID: id, Live: true, Span: span}, nil
+	return store.Lease{ID: id, Live: true, Span: span}, nil
 }
 
-func (s *Store) renew(_ context.Context, id string) (platform.Lease, error) {
+func (s *Store) renew(_ context.Context, id string) (store.Lease, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.expire()
@@ -182,7 +182,7 @@
 		s.leases[id] = lease{span: l.span, ends: s.now() + l.span}
 	}
 
-	return platform.Lease{ID: id, Live: live, Span: l.span}, nil
+	return store.Lease{ID: id, Live: live, Span: l.span}, nil
 }
 
 func (s *Store) revoke(_ context.Context, id string) error {
@@ -222,7 +222,7 @@
 
 func (s *Store) watch(
 	ctx context.Context, prefix string, after int64, wait clock.Milli,
-) ([]platform.Entry, int64, error) {
+) ([]store.Entry, int64, error) {
 	end, tick := time.After(wait.Duration()), time.Tick(expiryCheck)
 	for {
 		s.mu.Lock()
