--- a/io/registry/registry.go
+++ b/io/registry/registry.go
@@ -18,9 +18,9 @@
 const (
 	// watchWait is how long a watch waits for a change. A connection that went silent is noticed
 	// after this and the call's own timeout.
-	watchWait = 3 * clock.Second
+	watchWait = 4 * clock.Second
 	// watchPause is the time between two watches, so that changes are taken in batches.
-	watchPause = 150 * clock.Millisecond
+	watchPause = 400 * clock.Millisecond
 	// backoffFirst and backoffLast bound the pause after a call that failed; it doubles each time.
 	backoffFirst = 100 * clock.Millisecond
 	backoffLast  = 800 * clock.Millisecond
