--- a/cmd/jacinthferry/entry.go
+++ b/cmd/jacinthferry/entry.go
@@ -52,7 +52,7 @@
 }
 
 func runEntry(ctx context.Context, path string, s settings.Entry) error {
-	logJSONToOutput()
+	defer logJSONToOutput()()
 	debug.SetGCPercent(s.Growth)
 	debug.SetMemoryLimit(int64(float64(s.Memory) * memoryPart * megabyte))
 	told, release := signal.NotifyContext(ctx, syscall.SIGINT, syscall.SIGTERM)
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -66,7 +66,7 @@
 	}
 	e.registry, e.lease = registry.New(ports), registry.NewLease(ports)
 	e.gateway = gateway.New(gateway.Ports{
-		Now: now, View: e.registry.View, Daemons: e.registry.Daemons, Codec: platform.Codec(),
+		Now: now, View: e.registry.View, Daemons: e.registry.Daemons, Heard: e.registry.Heard, Codec: platform.Codec(),
 		Record: e.journal.Record, Zone: s.Zone,
 		Policy: policy(s),
 	})
@@ -159,9 +159,9 @@
 			far = append(far, m.Front)
 		}
 	}
-	all := append(near, far...)
+	near = append(near, far...)
 
-	return platform.Addresses{List: all[:min(len(all), addressLimit)], Keep: e.settings.Load().Keep}
+	return platform.Addresses{List: near[:min(len(near), addressLimit)], Keep: e.settings.Load().Keep}
 }
 
 func (e *Entry) metrics(w http.ResponseWriter, _ *http.Request) { e.journal.WriteMetrics(w) }
--- a/io/gateway/conn.go
+++ b/io/gateway/conn.go
@@ -36,7 +36,6 @@
 
 // Errors of a connection.
 var (
-	errAborted = errors.New("gateway: given up")
 	errCrossed = errors.New("gateway: the answer is for another request")
 	errEncoded = errors.New("gateway: the answer's body is encoded")
 	errSize    = errors.New("gateway: the answer is too large")
--- a/io/gateway/flight.go
+++ b/io/gateway/flight.go
@@ -18,6 +18,7 @@
 	gateway *Gateway
 	call    *Call
 	route   *catalog.Route
+	config  *catalog.Config
 	query   *gather.Query
 	timer   *time.Timer
 	// armed is when the timer fires.
@@ -229,10 +230,14 @@
 	}
 }
 
+// note records how the call ended, with what that was decided on: the configuration and how long ago
+// the store confirmed it.
 func (f *flight) note(now clock.Milli, kind event.Kind, word reason.Word, detail string) {
-	f.gateway.ports.Record(event.Event{
-		Kind: kind, Reason: word, Service: f.route.Name, Request: f.call.ID,
-		Detail: fmt.Sprintf("%s, after %.0f ms of %.0f, %d legs", detail, now-f.call.Arrived, f.call.Left, len(f.replies)),
+	ports := &f.gateway.ports
+	ports.Record(event.Event{
+		Kind: kind, Reason: word, Service: f.route.Name, Request: f.call.ID, Revision: uint64(f.config.Revision),
+		Detail: fmt.Sprintf("%s, after %.0f ms of %.0f, %d legs, configuration %d, store heard %.0f ms ago",
+			detail, now-f.call.Arrived, f.call.Left, len(f.replies), f.config.Version, now-ports.Heard()),
 	})
 }
 
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -22,8 +22,10 @@
 	Now     func() clock.Milli
 	View    func() *catalog.View
 	Daemons func() int
-	Codec   Codec
-	Record  func(event.Event)
+	// Heard returns when the store was heard last.
+	Heard  func() clock.Milli
+	Codec  Codec
+	Record func(event.Event)
 	// Zone is the availability zone of this daemon.
 	Zone   string
 	Policy gather.Policy
@@ -106,7 +108,7 @@
 	if call.Left <= 0 {
 		call.Left = route.Timeout
 	}
-	f := &flight{gateway: g, call: call, route: route, done: make(chan struct{})}
+	f := &flight{gateway: g, call: call, route: route, config: view.Config, done: make(chan struct{})}
 	f.start(view)
 	select {
 	case <-f.done:
--- a/io/journal/writer.go
+++ b/io/journal/writer.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"sync/atomic"
+	"time"
 )
 
 // Writer writes lines without ever making the caller wait: lines that the reader behind it does not
@@ -12,12 +13,13 @@
 type Writer struct {
 	out     io.Writer
 	lines   chan []byte
+	done    chan struct{}
 	dropped atomic.Int64
 }
 
 // NewWriter returns a writer that holds at most size lines for out.
 func NewWriter(out io.Writer, size int) *Writer {
-	w := &Writer{out: out, lines: make(chan []byte, size)}
+	w := &Writer{out: out, lines: make(chan []byte, size), done: make(chan struct{})}
 	go w.run()
 
 	return w
@@ -34,11 +36,27 @@
 	return len(line), nil
 }
 
+// Close writes the lines that wait, for as long as a span at most. No line may be written after it.
+func (w *Writer) Close(span time.Duration) {
+	close(w.lines)
+	select {
+	case <-w.done:
+	case <-time.After(span):
+	}
+}
+
 func (w *Writer) run() {
+	defer close(w.done)
 	for line := range w.lines {
-		if n := w.dropped.Swap(0); n > 0 {
-			_, _ = fmt.Fprintf(w.out, "{\"msg\":\"log lines dropped\",\"count\":%d}\n", n)
-		}
+		w.tellDropped()
 		_, _ = w.out.Write(line)
 	}
+	w.tellDropped()
+}
+
+// tellDropped writes how many lines were dropped since it was last told.
+func (w *Writer) tellDropped() {
+	if n := w.dropped.Swap(0); n > 0 {
+		_, _ = fmt.Fprintf(w.out, "{\"msg\":\"log lines dropped\",\"count\":%d}\n", n)
+	}
 }
--- /dev/null
+++ b/io/journal/writer_test.go
@@ -0,0 +1,59 @@
+package journal_test
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"regexp"
+	"strconv"
+	"strings"
+	"time"
+
+	"jacinthferry/io/journal"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+var _ = Describe("a writer", func() {
+	It("never makes the caller wait for a reader that stopped, and counts what it drops", func() {
+		reader, out := io.Pipe()
+		w := journal.NewWriter(out, 4)
+		begin := time.Now()
+		const lines = 1000
+		for i := range lines {
+			n, err := fmt.Fprintf(w, "line %d\n", i)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(n).To(BeNumerically(">", 0))
+		}
+		Expect(time.Since(begin)).To(BeNumerically("<", time.Second))
+		var got bytes.Buffer
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			_, _ = io.Copy(&got, reader)
+		}()
+		w.Close(10 * time.Second)
+		Expect(out.Close()).To(Succeed())
+		Eventually(done).WithTimeout(10 * time.Second).Should(BeClosed())
+		kept := strings.Count(got.String(), "line ")
+		Expect(kept).To(BeNumerically("<=", 6))
+		dropped := 0
+		for _, found := range regexp.MustCompile(`"count":(\d+)}`).FindAllStringSubmatch(got.String(), -1) {
+			n, err := strconv.Atoi(found[1])
+			Expect(err).NotTo(HaveOccurred())
+			dropped += n
+		}
+		Expect(kept + dropped).To(Equal(lines))
+	})
+
+	It("gives up at its end on a reader that stopped", func() {
+		_, out := io.Pipe()
+		w := journal.NewWriter(out, 4)
+		_, err := fmt.Fprintln(w, "line")
+		Expect(err).NotTo(HaveOccurred())
+		begin := time.Now()
+		w.Close(10 * time.Millisecond)
+		Expect(time.Since(begin)).To(BeNumerically("<", 5*time.Second))
+	})
+})
--- a/io/registry/registry.go
+++ b/io/registry/registry.go
@@ -106,6 +106,9 @@
 	return s.View
 }
 
+// Heard returns when the store last told the state, or 0.
+func (r *Registry) Heard() clock.Milli { return clock.Milli(r.heard.Load()) }
+
 // Daemons returns how many daemons there may be, this one included. A registry that is young may not
 // know the others yet.
 func (r *Registry) Daemons() int {
