--- /dev/null
+++ b/io/settings/entry_test.go
@@ -0,0 +1,110 @@
+package settings_test
+
+import (
+	"encoding/json"
+	"os"
+	"path/filepath"
+	"reflect"
+	"regexp"
+	"strings"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"jacinthferry/core/clock"
+	"jacinthferry/io/settings"
+)
+
+func read(parts ...string) string {
+	text, err := os.ReadFile(filepath.Join(append([]string{"..", ".."}, parts...)...))
+	Expect(err).NotTo(HaveOccurred())
+
+	return string(text)
+}
+
+var _ = Describe("the settings of an entry daemon", func() {
+	const good = `"name":"a","zone":"z","front":"10.0.0.1:1","ready":"10.0.0.1:2","directory":"10.0.0.1:3","store":"10.0.0.1:4"`
+
+	It("are read over the defaults", func() {
+		e, found, err := settings.ParseEntry([]byte("{" + good + `,"keep":"1s"}`))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(found).To(BeEmpty())
+		Expect(e.Keep).To(Equal(clock.Second))
+		Expect(e.Grace).To(Equal(settings.DefaultEntry().Grace))
+	})
+
+	It("name the field of every fault", func() {
+		for _, c := range []struct{ text, path string }{
+			{`{}`, "name"},
+			{"{" + strings.Replace(good, `"10.0.0.1:1"`, `"nowhere"`, 1) + "}", "front"},
+			{"{" + strings.Replace(good, `"10.0.0.1:4"`, `"10.0.0.1:0"`, 1) + "}", "store"},
+			{"{" + good + `,"metrics":"0.0.0.0:1"}`, "metrics"},
+			{"{" + good + `,"keep":"1ms"}`, "keep"},
+			{"{" + good + `,"keep":5}`, "keep"},
+			{"{" + good + `,"grace":"1h"}`, "grace"},
+			{"{" + good + `,"repeats":{"ratio":0}}`, "repeats.ratio"},
+			{"{" + good + `,"repeats":{"slack":-1}}`, "repeats.slack"},
+			{"{" + good + `,"memory":1}`, "memory"},
+			{"{" + good + `,"growth":1}`, "growth"},
+			{"{" + good + `,"other":1}`, "other"},
+		} {
+			_, found, err := settings.ParseEntry([]byte(c.text))
+			Expect(err).NotTo(HaveOccurred(), c.text)
+			Expect(found).NotTo(BeEmpty(), c.text)
+			Expect(found[0].Path).To(Equal(c.path), "%s: %v", c.text, found)
+		}
+	})
+
+	It("have a row with unit and default for every field in docs/entry.md", func() {
+		page := read("docs", "entry.md")
+		fields := make(map[string]any)
+		leaves("", reflect.ValueOf(settings.DefaultEntry()), fields)
+		Expect(len(fields)).To(BeNumerically(">", 10))
+		for path, value := range fields {
+			want := "-"
+			if !reflect.ValueOf(value).IsZero() {
+				text, err := json.Marshal(value)
+				Expect(err).NotTo(HaveOccurred())
+				want = "`" + strings.Trim(string(text), `"`) + "`"
+			}
+			Expect(page).To(MatchRegexp("(?m)^\\| `" + regexp.QuoteMeta(path) + "` \\| [^|]{4,} \\| " + regexp.QuoteMeta(want) + " \\| .+ \\|$"))
+		}
+		example := regexp.MustCompile("(?s)```json entry\n(.*?)```").FindStringSubmatch(page)
+		Expect(example).To(HaveLen(2))
+		_, found, err := settings.ParseEntry([]byte(example[1]))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(found).To(BeEmpty())
+	})
+
+	It("come from the deploy template whole", func() {
+		text := read("deploy", "entry.json")
+		sample := []struct{ place, value string }{
+			{"{{node|json}}", `"edge-north-1"`},
+			{"{{zone|json}}", `"north"`},
+			{"{{listen.front|json}}", `"10.0.0.1:8104"`},
+			{"{{listen.ready|json}}", `"10.0.0.1:8108"`},
+			{"{{listen.directory|json}}", `"10.0.0.1:8100"`},
+			{"{{ip}}", "10.0.0.1"},
+			{"{{internalPorts.0}}", "7380"},
+			{"{{platform.addr|json}}", `"10.0.9.1:8102"`},
+			{"{{bounds.graceS}}", "6"},
+			{"{{bounds.retryRatio|json}}", "0.2"},
+			{"{{bounds.retrySlack|json}}", "54"},
+			{"{{limits.memoryMb|json}}", "284"},
+		}
+		for _, s := range sample {
+			Expect(text).To(ContainSubstring(s.place))
+			text = strings.ReplaceAll(text, s.place, s.value)
+		}
+		e, found, err := settings.ParseEntry([]byte(text))
+		Expect(err).NotTo(HaveOccurred(), text)
+		Expect(found).To(BeEmpty())
+		Expect(e.Repeats).To(Equal(settings.Repeats{Ratio: 0.2, Slack: 54}))
+	})
+
+	It("have a published schema", func() {
+		form, err := settings.EntrySchema()
+		Expect(err).NotTo(HaveOccurred())
+		Expect(read("docs", "schema", "entry.json")).To(Equal(string(form.Text())))
+	})
+})
