Let few daemons take requests where there are many

Change: in each availability zone the largest daemons take requests, until they have 1.6 cores, two at least (core/subset). The others stand by: they are not ready, look once a second at who takes requests, from a stale copy, and take the place of one that is lost. Small sites keep all daemons.

--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -62,9 +62,10 @@
 	store := &http.Client{Transport: &http.Transport{DialContext: socket.Dialer(storeDial, storeAck).DialContext}}
 	ports := registry.Ports{
 		Now: now, Store: platform.NewStore(s.Store, store), Decode: platform.Decode, Record: e.journal.Record,
-		Self: registry.Member{Name: s.Name, Front: s.Front, Zone: s.Zone},
+		Self: registry.Member{Name: s.Name, Front: s.Front, Zone: s.Zone, Cores: s.Cores * s.Share},
 	}
-	e.registry, e.lease = registry.New(ports), registry.NewLease(ports)
+	e.registry = registry.New(ports)
+	e.lease = registry.NewLease(ports, e.registry.Standby)
 	e.gateway = gateway.New(gateway.Ports{
 		Now: now, View: e.registry.View, Daemons: e.registry.Daemons, Heard: e.registry.Heard, Codec: platform.Codec(),
 		Record: e.journal.Record, Zone: s.Zone,
@@ -138,7 +139,7 @@
 func (e *Entry) Ready() bool {
 	view := e.registry.View()
 
-	return !e.leaving.Load() && view != nil && view.Config != nil
+	return !e.leaving.Load() && !e.registry.Standby() && view != nil && view.Config != nil
 }
 
 // addressLimit is how many addresses a caller takes at most.
--- a/io/registry/lease.go
+++ b/io/registry/lease.go
@@ -16,18 +16,24 @@
 	leaseSpan = 2 * clock.Second
 	// renewEvery is the time between two renewals.
 	renewEvery = 600 * clock.Millisecond
+	// standbyFactor is how many times longer both are for a daemon that stands by.
+	standbyFactor = 4
 )
 
 // Lease keeps this daemon's entry in the store.
 type Lease struct {
-	ports Ports
-	mu    sync.Mutex
-	id    string
-	left  bool
+	ports   Ports
+	standby func() bool
+	mu      sync.Mutex
+	id      string
+	factor  clock.Milli
+	left    bool
 }
 
-// NewLease returns a lease that is not held yet.
-func NewLease(ports Ports) *Lease { return &Lease{ports: ports} }
+// NewLease returns a lease that is not held yet. It is renewed less often while standby says so.
+func NewLease(ports Ports, standby func() bool) *Lease {
+	return &Lease{ports: ports, standby: standby, factor: 1}
+}
 
 // Run registers the daemon and renews its lease until ctx ends.
 func (l *Lease) Run(ctx context.Context) {
@@ -36,13 +42,22 @@
 		if !l.left {
 			l.keep(ctx)
 		}
+		span := renewEvery * l.factor
 		l.mu.Unlock()
-		pause(ctx, renewEvery)
+		pause(ctx, span)
 	}
 }
 
 // keep renews the lease, or takes a new one when it has ended.
 func (l *Lease) keep(ctx context.Context) {
+	factor := clock.Milli(1)
+	if l.standby() {
+		factor = standbyFactor
+	}
+	if factor != l.factor {
+		// The entry moves to a lease of another span; the old one runs out.
+		l.factor, l.id = factor, ""
+	}
 	if l.id != "" {
 		lease, err := l.ports.Store.Renew(ctx, l.id)
 		if err != nil || lease.Live {
@@ -51,7 +66,7 @@
 		l.ports.Record(event.Event{Kind: event.Member, Reason: reason.Lapsed, Detail: "own lease " + l.id})
 		l.id = ""
 	}
-	lease, err := l.ports.Store.Grant(ctx, leaseSpan)
+	lease, err := l.ports.Store.Grant(ctx, leaseSpan*l.factor)
 	if err != nil {
 		return
 	}
--- a/io/registry/record.go
+++ b/io/registry/record.go
@@ -41,20 +41,23 @@
 	// Front is where it takes requests.
 	Front string
 	Zone  string
+	// Cores is the part of a processor core that it may use.
+	Cores float64
 }
 
 // memberPrefix is what the keys of daemons begin with.
 const memberPrefix = "jacinthferry/members/"
 
 type memberRecord struct {
-	Front string `json:"front"`
-	Zone  string `json:"zone"`
+	Front string  `json:"front"`
+	Zone  string  `json:"zone"`
+	Cores float64 `json:"cores"`
 }
 
 func (m Member) key() string { return memberPrefix + m.Name }
 
 func (m Member) value() (string, error) {
-	text, err := json.Marshal(memberRecord{Front: m.Front, Zone: m.Zone})
+	text, err := json.Marshal(memberRecord{Front: m.Front, Zone: m.Zone, Cores: m.Cores})
 
 	return string(text), err //nolint:wrapcheck // Two strings are always encoded.
 }
@@ -70,5 +73,5 @@
 		return Record{}, err //nolint:wrapcheck // The caller logs it with the key.
 	}
 
-	return Record{Kind: Daemon, Member: Member{Name: name, Front: m.Front, Zone: m.Zone}}, nil
+	return Record{Kind: Daemon, Member: Member{Name: name, Front: m.Front, Zone: m.Zone, Cores: m.Cores}}, nil
 }
--- a/io/registry/registry.go
+++ b/io/registry/registry.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"slices"
-	"strings"
 	"sync/atomic"
 	"time"
 
@@ -18,7 +16,7 @@
 const (
 	// watchWait is how long a watch waits for a change. A connection that went silent is noticed
 	// after this and the call's own timeout.
-	watchWait = 4 * clock.Second
+	watchWait = 2600 * clock.Millisecond
 	// watchPause is the time between two watches, so that changes are taken in batches.
 	watchPause = 400 * clock.Millisecond
 	// backoffFirst and backoffLast bound the pause after a call that failed; it doubles each time.
@@ -56,8 +54,10 @@
 // State is what the registry knows at one moment. It is immutable.
 type State struct {
 	View *catalog.View
-	// Members are the daemons, ordered by name.
+	// Members are the daemons that take requests, ordered by name.
 	Members []Member
+	// Standby is set while this daemon is none of them.
+	Standby bool
 	// Daemons is how many daemons there may be: the most that were known within countSpan.
 	Daemons int
 	// Revision is the store's, and At when it was heard.
@@ -78,6 +78,11 @@
 	backoff  clock.Milli
 	lost     bool
 	started  clock.Milli
+	// standby is set while others take the requests, and retired is when callers have forgotten that
+	// this daemon took some.
+	standby bool
+	retired clock.Milli
+	chosen  bool
 	// counts are the numbers of daemons that were known, oldest first.
 	counts []count
 }
@@ -106,6 +111,13 @@
 	return s.View
 }
 
+// Standby reports whether others take the requests.
+func (r *Registry) Standby() bool {
+	s := r.state.Load()
+
+	return s != nil && s.Standby
+}
+
 // Heard returns when the store last told the state, or 0.
 func (r *Registry) Heard() clock.Milli { return clock.Milli(r.heard.Load()) }
 
@@ -140,6 +152,9 @@
 
 // step makes one call: a list of everything at first, and a watch afterwards.
 func (r *Registry) step(ctx context.Context) error {
+	if r.standby && r.ports.Now() >= r.retired {
+		return r.stand(ctx)
+	}
 	if !r.loaded {
 		return r.load(ctx)
 	}
@@ -148,7 +163,7 @@
 		return err //nolint:wrapcheck // It is a refusal of the store.
 	}
 	now := r.ports.Now()
-	changed := r.forget(now)
+	changed := r.forget(now) || r.standby
 	for _, e := range changes {
 		changed = r.apply(now, e) || changed
 	}
@@ -263,7 +278,6 @@
 func (r *Registry) publish(now clock.Milli) {
 	var config *catalog.Config
 	var upstreams []*catalog.Upstream
-	var members []Member
 	out := make(map[string]bool)
 	for _, h := range r.entries {
 		switch h.record.Kind {
@@ -273,15 +287,13 @@
 			upstreams = append(upstreams, h.record.Upstream)
 		case ZoneOut:
 			out[h.record.Zone] = true
-		case Daemon:
-			members = append(members, h.record.Member)
 		default:
 		}
 	}
-	slices.SortFunc(members, func(a, b Member) int { return strings.Compare(a.Name, b.Name) })
+	members := r.rank(now)
 	r.state.Store(&State{
-		View: catalog.NewView(config, upstreams, out), Members: members, Daemons: r.count(now, len(members)),
-		Revision: r.after, At: now,
+		View: catalog.NewView(config, upstreams, out), Members: members, Standby: r.standby,
+		Daemons: r.count(now, len(members)), Revision: r.after, At: now,
 	})
 }
 
--- a/io/settings/entry.go
+++ b/io/settings/entry.go
@@ -33,6 +33,9 @@
 	Grace clock.Milli `json:"grace"`
 	// Repeats bounds the requests that are sent once more.
 	Repeats Repeats `json:"repeats"`
+	// Cores is how many processor cores the daemon has, and Share the part of them that it may use.
+	Cores float64 `json:"cores"`
+	Share float64 `json:"share"`
 	// Memory is what the process may use, in megabytes.
 	Memory int `json:"memory"`
 	// Growth is by how many percent the heap may grow between two garbage collections.
@@ -50,7 +53,7 @@
 func DefaultEntry() Entry {
 	return Entry{
 		Keep: 2 * clock.Second, Grace: 6 * clock.Second, Repeats: Repeats{Ratio: 0.2, Slack: 50},
-		Memory: 256, Growth: 200,
+		Cores: 1, Share: 1, Memory: 256, Growth: 200,
 	}
 }
 
@@ -63,6 +66,7 @@
 		within("keep", float64(e.Keep), float64(100*clock.Millisecond), float64(clock.Minute)),
 		within("grace", float64(e.Grace), float64(clock.Second), float64(10*clock.Minute)),
 		within("repeats.ratio", e.Repeats.Ratio, 0.01, 1), within("repeats.slack", e.Repeats.Slack, 0, 1e6),
+		within("cores", e.Cores, 0.01, 1024), within("share", e.Share, 0.001, 1),
 		within("memory", float64(e.Memory), 32, 1e6), within("growth", float64(e.Growth), 10, 10000),
 	)
 	if e.Metrics != "" {
--- a/io/settings/entry_test.go
+++ b/io/settings/entry_test.go
@@ -44,6 +44,8 @@
 			{"{" + good + `,"grace":"1h"}`, "grace"},
 			{"{" + good + `,"repeats":{"ratio":0}}`, "repeats.ratio"},
 			{"{" + good + `,"repeats":{"slack":-1}}`, "repeats.slack"},
+			{"{" + good + `,"cores":0}`, "cores"},
+			{"{" + good + `,"share":2}`, "share"},
 			{"{" + good + `,"memory":1}`, "memory"},
 			{"{" + good + `,"growth":1}`, "growth"},
 			{"{" + good + `,"other":1}`, "other"},
@@ -90,6 +92,8 @@
 			{"{{bounds.graceS}}", "6"},
 			{"{{bounds.retryRatio|json}}", "0.2"},
 			{"{{bounds.retrySlack|json}}", "54"},
+			{"{{limits.vcpus|json}}", "1"},
+			{"{{limits.cpuShare|json}}", "0.4"},
 			{"{{limits.memoryMb|json}}", "284"},
 		}
 		for _, s := range sample {
--- a/io/store/port.go
+++ b/io/store/port.go
@@ -50,8 +50,10 @@
 // Store is the platform's service. Its functions return a *reason.Refusal as error; one whose Run
 // is not No may have taken effect.
 type Store struct {
-	Get       func(ctx context.Context, key string) (Entry, error)
-	List      func(ctx context.Context, prefix string) ([]Entry, int64, error)
+	Get  func(ctx context.Context, key string) (Entry, error)
+	List func(ctx context.Context, prefix string) ([]Entry, int64, error)
+	// Stale is List from a copy that may be some seconds old, at a tenth of its price.
+	Stale     func(ctx context.Context, prefix string) ([]Entry, int64, error)
 	Put       func(ctx context.Context, key, value string, expect int64, lease string) (Write, error)
 	Delete    func(ctx context.Context, key string, expect int64) (Write, error)
 	Grant     func(ctx context.Context, span clock.Milli) (Lease, error)
--- a/standin/platform/store.go
+++ b/standin/platform/store.go
@@ -71,7 +71,7 @@
 // Platform returns the calls that the store serves. Limits and faults come with Handler.
 func (s *Store) Platform() store.Store {
 	return store.Store{
-		Get: s.get, List: s.list, Put: s.put, Delete: s.remove, Grant: s.grant, Renew: s.renew,
+		Get: s.get, List: s.list, Stale: s.list, Put: s.put, Delete: s.remove, Grant: s.grant, Renew: s.renew,
 		Revoke: s.revoke, Watch: s.watch, Instances: s.listInstances,
 	}
 }
