Count the caller's way into the time that is left

Daemons did not know how far callers are.

Change: a connection's round trip is read from the kernel once; a request's time begins a round trip earlier, two for the first on a connection. What is kept back for building the answer shrinks to 4 ms or a twentieth. And store calls: a daemon makes three in its first two seconds instead of six, and one that stands by looks every 2 s.

--- a/core/gather/desk.go
+++ b/core/gather/desk.go
@@ -30,10 +30,10 @@
 	hedgeLatest  = 0.35
 	// hedgeSoonest is the shortest such wait.
 	hedgeSoonest = 4 * clock.Millisecond
-	// marginPart is the part of the objective kept back for the answer's way to the caller, at least
+	// marginPart is the part of the objective kept back for building and sending the answer, at least
 	// marginLeast.
-	marginPart  = 0.1
-	marginLeast = 6 * clock.Millisecond
+	marginPart  = 0.05
+	marginLeast = 4 * clock.Millisecond
 	// extraUse is the part of the extra sends that this daemon allows itself: the rest is for sends
 	// that crossed the start of a window.
 	extraUse = 0.85
@@ -160,7 +160,7 @@
 	ID string
 	// Deadline is when the caller leaves.
 	Deadline clock.Milli
-	// Began is when the caller asked first, an earlier try included.
+	// Began is when the caller asked first, an earlier try and the ways between included.
 	Began clock.Milli
 	// Arrived is when this try arrived.
 	Arrived clock.Milli
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -65,7 +65,7 @@
 		Self: registry.Member{Name: s.Name, Front: s.Front, Zone: s.Zone, Cores: s.Cores * s.Share},
 	}
 	e.registry = registry.New(ports)
-	e.lease = registry.NewLease(ports, e.registry.Standby)
+	e.lease = registry.NewLease(ports, e.registry.Settled)
 	e.gateway = gateway.New(gateway.Ports{
 		Now: now, View: e.registry.View, Daemons: e.registry.Daemons, Heard: e.registry.Heard, Codec: platform.Codec(),
 		Record: e.journal.Record, Zone: s.Zone,
@@ -127,6 +127,7 @@
 		}
 		server := &http.Server{
 			Handler: l.handler, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: headerLimit, IdleTimeout: idleTimeout,
+			ConnContext: socket.WithWay,
 		}
 		e.servers = append(e.servers, server)
 		go func() { _ = server.Serve(listener) }()
--- a/io/gateway/call.go
+++ b/io/gateway/call.go
@@ -23,6 +23,8 @@
 	// Left is how long the caller waits from Arrived on, or 0 when it did not say.
 	Left    clock.Milli
 	Arrived clock.Milli
+	// Way is the part of the caller's time that goes by between it and here, both ways.
+	Way clock.Milli
 }
 
 // Answer is what a caller gets.
--- a/io/gateway/flight.go
+++ b/io/gateway/flight.go
@@ -39,7 +39,8 @@
 	// A caller that comes again has less time left than the route allows.
 	spent := min(max(0, f.route.Timeout-f.call.Left), f.route.Objective)
 	query, actions := g.desk.Begin(now, view, f.route, gather.Request{
-		ID: f.call.ID, Arrived: f.call.Arrived, Began: f.call.Arrived - spent, Deadline: f.call.Arrived + f.call.Left,
+		ID: f.call.ID, Arrived: f.call.Arrived, Began: f.call.Arrived - spent - f.call.Way,
+		Deadline: f.call.Arrived + f.call.Left,
 	})
 	f.query = query
 	f.carryOut(now, actions)
--- a/io/registry/lease.go
+++ b/io/registry/lease.go
@@ -16,23 +16,24 @@
 	leaseSpan = 2 * clock.Second
 	// renewEvery is the time between two renewals.
 	renewEvery = 600 * clock.Millisecond
-	// standbyFactor is how many times longer both are for a daemon that stands by.
-	standbyFactor = 4
+	// standbyFactor is how many times longer both are for a daemon that may be standing by.
+	standbyFactor = 3
 )
 
 // Lease keeps this daemon's entry in the store.
 type Lease struct {
 	ports   Ports
-	standby func() bool
+	settled func() bool
 	mu      sync.Mutex
 	id      string
 	factor  clock.Milli
 	left    bool
 }
 
-// NewLease returns a lease that is not held yet. It is renewed less often while standby says so.
-func NewLease(ports Ports, standby func() bool) *Lease {
-	return &Lease{ports: ports, standby: standby, factor: 1}
+// NewLease returns a lease that is not held yet. It is short, so that the loss of the daemon is soon
+// noticed, once settled says that the daemon takes requests.
+func NewLease(ports Ports, settled func() bool) *Lease {
+	return &Lease{ports: ports, settled: settled, factor: standbyFactor}
 }
 
 // Run registers the daemon and renews its lease until ctx ends.
@@ -50,9 +51,9 @@
 
 // keep renews the lease, or takes a new one when it has ended.
 func (l *Lease) keep(ctx context.Context) {
-	factor := clock.Milli(1)
-	if l.standby() {
-		factor = standbyFactor
+	factor := clock.Milli(standbyFactor)
+	if l.settled() {
+		factor = 1
 	}
 	if factor != l.factor {
 		// The entry moves to a lease of another span; the old one runs out.
--- a/io/registry/registry.go
+++ b/io/registry/registry.go
@@ -118,6 +118,13 @@
 	return s != nil && s.Standby
 }
 
+// Settled reports whether this daemon takes requests and will go on doing so.
+func (r *Registry) Settled() bool {
+	s := r.state.Load()
+
+	return s != nil && !s.Standby && r.ports.Now()-r.started >= settleSpan
+}
+
 // Heard returns when the store last told the state, or 0.
 func (r *Registry) Heard() clock.Milli { return clock.Milli(r.heard.Load()) }
 
@@ -141,7 +148,7 @@
 		err := r.step(ctx)
 		if err == nil {
 			r.regained()
-			pause(ctx, watchPause)
+			pause(ctx, r.pause())
 
 			continue
 		}
@@ -150,6 +157,16 @@
 	}
 }
 
+// pause returns the time between two watches. At the start, when everything registers, a longer one
+// saves calls.
+func (r *Registry) pause() clock.Milli {
+	if r.ports.Now()-r.started < settleSpan {
+		return settleSpan / 2
+	}
+
+	return watchPause
+}
+
 // step makes one call: a list of everything at first, and a watch afterwards.
 func (r *Registry) step(ctx context.Context) error {
 	if r.standby && r.ports.Now() >= r.retired {
--- a/io/registry/standby.go
+++ b/io/registry/standby.go
@@ -19,7 +19,7 @@
 	// keep a directory's answer for less.
 	retireSpan = 10 * clock.Second
 	// standbyPause is the time between two looks of a standby daemon at who takes requests.
-	standbyPause = clock.Second
+	standbyPause = 2 * clock.Second
 )
 
 // rank returns the daemons that take requests, ordered by name, and notes whether this one does.
--- a/io/socket/socket.go
+++ b/io/socket/socket.go
@@ -33,6 +33,32 @@
 	return err == nil && quiet
 }
 
+// RoundTrip returns the time that the other end of a connection takes to answer, as the kernel last
+// measured it. It reports false where the kernel does not tell.
+func RoundTrip(c net.Conn) (clock.Milli, bool) {
+	s, ok := c.(syscall.Conn)
+	if !ok {
+		return 0, false
+	}
+	control, err := s.SyscallConn()
+	if err != nil {
+		return 0, false
+	}
+	var info *unix.TCPInfo
+	var failure error
+	err = control.Control(func(fd uintptr) {
+		info, failure = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+	})
+	if err != nil || failure != nil {
+		return 0, false
+	}
+
+	return clock.Milli(info.Rtt) / microseconds, true
+}
+
+// microseconds is how many of them a millisecond has.
+const microseconds = 1000
+
 // Dialer returns a dialer for TCP connections that give up when written bytes stay unacknowledged
 // for a span.
 func Dialer(timeout, unacknowledged clock.Milli) *net.Dialer {
