--- a/core/gather/world_test.go
+++ b/core/gather/world_test.go
@@ -193,7 +193,7 @@
 		done := s.queue[0]
 		s.queue = s.queue[1:]
 		s.slots--
-		span := workMean * clock.Milli(s.times*(0.5+w.random.Float64())) + max(0, s.pausedUntil-w.now)
+		span := workMean*clock.Milli(s.times*(0.5+w.random.Float64())) + max(0, s.pausedUntil-w.now)
 		w.after(span, func() {
 			s.slots++
 			done()
