Decide once a daemon has settled whether it stands by

Found by its spec: a daemon that started where nothing changed afterwards never decided, and went on taking requests beside the larger ones.

--- a/io/registry/registry.go
+++ b/io/registry/registry.go
@@ -83,6 +83,7 @@
 	standby bool
 	retired clock.Milli
 	chosen  bool
+	settled bool
 	// counts are the numbers of daemons that were known, oldest first.
 	counts []count
 }
@@ -128,48 +129,38 @@
 // Heard returns when the store last told the state, or 0.
 func (r *Registry) Heard() clock.Milli { return clock.Milli(r.heard.Load()) }
 
-// Daemons returns how many daemons there may be, this one included. A registry that is young may not
-// know the others yet.
-func (r *Registry) Daemons() int {
-	known := 1
-	if s := r.state.Load(); s != nil {
-		known = max(1, s.Daemons)
-	}
-	if r.ports.Now()-r.started < youngSpan {
-		return max(known, youngDaemons)
-	}
-
-	return known
-}
-
 // Run follows the store until ctx ends.
 func (r *Registry) Run(ctx context.Context) {
 	for ctx.Err() == nil {
-		err := r.step(ctx)
-		if err == nil {
-			r.regained()
-			pause(ctx, r.pause())
-
-			continue
-		}
-		r.failed(err)
-		pause(ctx, r.backoff*clock.Milli(0.5+rand.Float64()/2))
+		pause(ctx, r.turn(ctx))
 	}
 }
 
-// pause returns the time between two watches. At the start, when everything registers, a longer one
-// saves calls.
-func (r *Registry) pause() clock.Milli {
-	if r.ports.Now()-r.started < settleSpan {
+// turn makes one step and returns the time to wait before the next.
+func (r *Registry) turn(ctx context.Context) clock.Milli {
+	if err := r.step(ctx); err != nil {
+		r.failed(err)
+
+		return r.backoff * clock.Milli(0.5+rand.Float64()/2)
+	}
+	r.regained()
+	switch {
+	case r.standsBy():
+		return standbyPause
+	case r.ports.Now()-r.started < settleSpan:
+		// Everything registers at the start of a deployment. A longer pause saves calls.
 		return settleSpan / 2
+	default:
+		return watchPause
 	}
-
-	return watchPause
 }
 
+// standsBy reports whether this daemon stands by and callers have forgotten it.
+func (r *Registry) standsBy() bool { return r.standby && r.ports.Now() >= r.retired }
+
 // step makes one call: a list of everything at first, and a watch afterwards.
 func (r *Registry) step(ctx context.Context) error {
-	if r.standby && r.ports.Now() >= r.retired {
+	if r.standsBy() {
 		return r.stand(ctx)
 	}
 	if !r.loaded {
@@ -180,7 +171,7 @@
 		return err //nolint:wrapcheck // It is a refusal of the store.
 	}
 	now := r.ports.Now()
-	changed := r.forget(now) || r.standby
+	changed := r.forget(now) || r.standby || r.settles(now)
 	for _, e := range changes {
 		changed = r.apply(now, e) || changed
 	}
@@ -193,6 +184,16 @@
 	return nil
 }
 
+// settles reports, once, that this daemon may know all others by now.
+func (r *Registry) settles(now clock.Milli) bool {
+	if r.settled || now-r.started < settleSpan {
+		return false
+	}
+	r.settled = true
+
+	return true
+}
+
 // load reads everything anew. What is not there any more is gone.
 func (r *Registry) load(ctx context.Context) error {
 	list, revision, err := r.ports.Store.List(ctx, "")
@@ -217,118 +218,6 @@
 	return nil
 }
 
-// apply takes one entry as the store holds it and reports whether the state changed.
-func (r *Registry) apply(now clock.Milli, e store.Entry) bool {
-	old, known := r.entries[e.Key]
-	if known && e.Revision <= old.revision {
-		return false
-	}
-	if e.Deleted {
-		return known && r.vanished(now, e.Key)
-	}
-	record, err := r.ports.decode(e, now)
-	if err != nil {
-		r.note(event.Event{Kind: event.Upstream, Reason: reason.Invalid, Detail: err.Error()})
-		delete(r.entries, e.Key)
-
-		return known
-	}
-	if record.Kind == Other {
-		return false
-	}
-	r.noteChange(&old.record, &record, e)
-	r.entries[e.Key] = held{record: record, revision: e.Revision}
-
-	return true
-}
-
-// vanished takes an entry that is gone. Configuration stays in force; daemons and upstreams are
-// believed a little longer while the store is in trouble.
-func (r *Registry) vanished(now clock.Milli, key string) bool {
-	h := r.entries[key]
-	switch h.record.Kind {
-	case Config:
-		return false
-	case Upstream, Daemon:
-		if now < r.troubled {
-			if h.until == 0 {
-				h.until = r.troubled
-				r.entries[key] = h
-			}
-
-			return false
-		}
-	default:
-	}
-	r.remove(key, h)
-
-	return true
-}
-
-func (r *Registry) remove(key string, h held) {
-	delete(r.entries, key)
-	switch h.record.Kind {
-	case Upstream:
-		u := h.record.Upstream
-		r.note(event.Event{Kind: event.Upstream, Reason: reason.Lapsed, Service: u.Service, Upstream: u.ID, Zone: u.Zone})
-	case Daemon:
-		r.note(event.Event{Kind: event.Member, Reason: reason.Lapsed, Detail: h.record.Member.Name})
-	case ZoneOut:
-		r.note(event.Event{Kind: event.Zone, Zone: h.record.Zone, Detail: "back"})
-	default:
-	}
-}
-
-// forget removes the entries that were believed for long enough after they vanished.
-func (r *Registry) forget(now clock.Milli) bool {
-	changed := false
-	for key, h := range r.entries {
-		if h.until != 0 && now >= h.until {
-			r.remove(key, h)
-			changed = true
-		}
-	}
-
-	return changed
-}
-
-func (r *Registry) publish(now clock.Milli) {
-	var config *catalog.Config
-	var upstreams []*catalog.Upstream
-	out := make(map[string]bool)
-	for _, h := range r.entries {
-		switch h.record.Kind {
-		case Config:
-			config = h.record.Config
-		case Upstream:
-			upstreams = append(upstreams, h.record.Upstream)
-		case ZoneOut:
-			out[h.record.Zone] = true
-		default:
-		}
-	}
-	members := r.rank(now)
-	r.state.Store(&State{
-		View: catalog.NewView(config, upstreams, out), Members: members, Standby: r.standby,
-		Daemons: r.count(now, len(members)), Revision: r.after, At: now,
-	})
-}
-
-// count returns the most daemons that were known within countSpan. One whose entry lapsed may go on
-// sending for a while.
-func (r *Registry) count(now clock.Milli, daemons int) int {
-	r.counts = append(r.counts, count{now, daemons})
-	for len(r.counts) > 1 && r.counts[1].at < now-countSpan {
-		r.counts = r.counts[1:]
-	}
-	most := 0
-	for _, c := range r.counts {
-		most = max(most, c.daemons)
-	}
-
-	return most
-}
-
 // failed takes a call that failed.
 func (r *Registry) failed(err error) {
 	now := r.ports.Now()
@@ -356,33 +245,6 @@
 	}
 }
 
-func (r *Registry) note(e event.Event) { r.ports.Record(e) }
-
-// noteChange records what a new entry changed.
-func (r *Registry) noteChange(old, record *Record, e store.Entry) {
-	switch record.Kind {
-	case Config:
-		r.note(event.Event{Kind: event.Revision, Revision: uint64(e.Revision), Detail: "configuration"})
-	case Upstream:
-		u := record.Upstream
-		if old.Upstream == nil || old.Upstream.Key() != u.Key() || old.Upstream.Draining != u.Draining {
-			word := reason.Word("")
-			if u.Draining {
-				word = reason.Draining
-			}
-			r.note(event.Event{
-				Kind: event.Upstream, Reason: word, Service: u.Service, Upstream: u.ID, Zone: u.Zone,
-				Version: u.Version, Revision: uint64(e.Revision),
-			})
-		}
-	case ZoneOut:
-		r.note(event.Event{Kind: event.Zone, Zone: record.Zone, Revision: uint64(e.Revision), Detail: "out"})
-	case Daemon:
-		r.note(event.Event{Kind: event.Member, Detail: record.Member.Name, Revision: uint64(e.Revision)})
-	default:
-	}
-}
-
 func pause(ctx context.Context, span clock.Milli) {
 	timer := time.NewTimer(span.Duration())
 	defer timer.Stop()
--- a/io/registry/standby.go
+++ b/io/registry/standby.go
@@ -79,7 +79,6 @@
 	r.state.Store(&State{
 		View: catalog.NewView(nil, nil, nil), Members: members, Standby: true, Daemons: r.count(now, len(members)), At: now,
 	})
-	pause(ctx, standbyPause)
 
 	return nil
 }
