--- a/core/gather/world_test.go
+++ b/core/gather/world_test.go
@@ -151,6 +151,8 @@
 				w.inTime++
 				w.covered += float64(len(a.Outcome.Legs)) / worldShards
 			}
+		default:
+			// Callers do not leave here, so that nothing is cancelled.
 		}
 	}
 	if next := q.Next(); !q.Done() {
