--- a/io/registry/registry.go
+++ b/io/registry/registry.go
@@ -17,6 +17,8 @@
 	// watchWait is how long a watch waits for a change. A connection that went silent is noticed
 	// after this and the call's own timeout.
 	watchWait = 2600 * clock.Millisecond
+	// watchLeast is the shortest wait of a watch.
+	watchLeast = 10 * clock.Millisecond
 	// watchPause is the time between two watches, so that changes are taken in batches.
 	watchPause = 400 * clock.Millisecond
 	// backoffFirst and backoffLast bound the pause after a call that failed; it doubles each time.
@@ -166,7 +168,7 @@
 	if !r.loaded {
 		return r.load(ctx)
 	}
-	changes, revision, err := r.ports.Store.Watch(ctx, "", r.after, watchWait)
+	changes, revision, err := r.ports.Store.Watch(ctx, "", r.after, r.patience())
 	if err != nil {
 		return err //nolint:wrapcheck // It is a refusal of the store.
 	}
@@ -184,6 +186,20 @@
 	return nil
 }
 
+// patience returns how long a watch may wait: no longer than until the next entry that vanished is
+// forgotten.
+func (r *Registry) patience() clock.Milli {
+	now := r.ports.Now()
+	wait := watchWait
+	for _, h := range r.entries {
+		if h.until != 0 {
+			wait = min(wait, max(watchLeast, h.until-now))
+		}
+	}
+
+	return wait
+}
+
 // settles reports, once, that this daemon may know all others by now.
 func (r *Registry) settles(now clock.Milli) bool {
 	if r.settled || now-r.started < settleSpan {
--- a/io/registry/registry_test.go
+++ b/io/registry/registry_test.go
@@ -26,6 +26,7 @@
 	entries  map[string]store.Entry
 	pending  []store.Entry
 	fail     error
+	waited   clock.Milli
 	lists    int
 	stales   int
 }
@@ -73,7 +74,8 @@
 
 			return list(prefix)
 		},
-		Watch: func(_ context.Context, _ string, _ int64, _ clock.Milli) ([]store.Entry, int64, error) {
+		Watch: func(_ context.Context, _ string, _ int64, wait clock.Milli) ([]store.Entry, int64, error) {
+			r.waited = wait
 			if r.fail != nil {
 				return nil, 0, r.fail
 			}
@@ -185,6 +187,31 @@
 		Expect(usable(r, "s")).To(Equal(1), "one is back, the other is gone")
 	})
 
+	It("waits for changes no longer than it believes what vanished", func() {
+		r := newRig(self)
+		r.put("u1", "upstream s")
+		r.turn(0)
+		r.turn(1000)
+		usual := r.waited
+		r.fail = errDown
+		r.turn(1000)
+		r.fail = nil
+		r.remove("u1")
+		r.turn(100)
+		Expect(usable(r, "s")).To(Equal(1))
+		left := 2500 * clock.Millisecond
+		for usable(r, "s") > 0 {
+			r.turn(400)
+			left -= 400
+			Expect(r.waited).To(BeNumerically("<=", max(10, left)))
+			r.now += r.waited
+			left -= r.waited
+		}
+		Expect(left).To(BeNumerically(">", -500))
+		r.turn(400)
+		Expect(r.waited).To(Equal(usual))
+	})
+
 	It("reads all anew when the store dropped its history, and takes what is missing as gone", func() {
 		r := newRig(self)
 		r.put("u1", "upstream s")
