--- a/core/balance/balance_test.go
+++ b/core/balance/balance_test.go
@@ -81,6 +81,16 @@
 		}
 	})
 
+	It("holds nothing against an upstream whose request was given up early", func() {
+		f := newFleet(7)
+		for i := range 5 {
+			now := start + clock.Milli(i)*10
+			f.Sent(now, service, near)
+			f.Dropped(now+5, now, near)
+		}
+		Expect(f.Choose(start+60, service, both, none)).To(Equal(near))
+	})
+
 	It("sends nothing more to an upstream whose address another process has", func() {
 		f := newFleet(7)
 		f.Sent(start, service, near)
--- a/core/event/event.go
+++ b/core/event/event.go
@@ -12,6 +12,8 @@
 const (
 	// Refusal is a request or leg that got no answer.
 	Refusal Kind = "refusal"
+	// Answer is a request that was answered whole.
+	Answer Kind = "answer"
 	// Retry is a leg sent again to another replica after a failure.
 	Retry Kind = "retry"
 	// Hedge is a second leg sent while the first one runs.
--- a/core/gather/query.go
+++ b/core/gather/query.go
@@ -117,10 +117,13 @@
 	return q.desk.actions
 }
 
-// Abandon ends the request because its caller left.
+// Abandon ends the request because its caller left. One that may run once goes on where it runs.
 func (q *Query) Abandon(clock.Milli) []Action {
 	q.desk.actions = q.desk.actions[:0]
 	q.done = true
+	if !q.route.Idempotent {
+		return nil
+	}
 	for i := range q.legs {
 		if q.legs[i].open {
 			q.emit(Action{Kind: Cancel, Number: i, Upstream: q.legs[i].upstream})
@@ -143,6 +146,7 @@
 		}
 		next = min(next, s.due)
 	}
+
 	return next
 }
 
--- a/core/gather/query_test.go
+++ b/core/gather/query_test.go
@@ -228,6 +228,14 @@
 		Expect(kinds(q.Abandon(start+2), gather.Cancel)).To(HaveLen(2))
 		Expect(q.Done()).To(BeTrue())
 	})
+
+	It("lets a request that may run once go on when the caller leaves", func() {
+		d := newDesk(1, 1, catalog.Route{Name: "order", Timeout: 3000, Objective: 500, Attempts: 1, Service: "shard0"})
+		d.route.Shards = nil
+		q, _ := d.begin(start)
+		Expect(q.Abandon(start + 2)).To(BeEmpty())
+		Expect(q.Done()).To(BeTrue())
+	})
 })
 
 var _ = Describe("Extra sends", func() {
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -68,8 +69,7 @@
 	e.lease = registry.NewLease(ports, e.registry.Settled)
 	e.gateway = gateway.New(gateway.Ports{
 		Now: now, View: e.registry.View, Daemons: e.registry.Daemons, Heard: e.registry.Heard, Codec: platform.Codec(),
-		Record: e.journal.Record, Zone: s.Zone,
-		Policy: policy(s),
+		Record: e.journal.Record, Observe: e.observe, Zone: s.Zone, Policy: policy(s),
 	})
 	front := &platform.Front{
 		Now: now, Serve: e.gateway.Serve, Limits: e.gateway.Limits, Leaving: e.leaving.Load,
@@ -91,7 +91,7 @@
 }
 
 // Reload takes new settings. Those that a running process cannot change, such as addresses, stay as
-// they are until the next start, and are named in the log.
+// they are until the next start; the log says so.
 func (e *Entry) Reload(s settings.Entry) {
 	old := *e.settings.Load()
 	if s == old {
@@ -166,6 +166,16 @@
 	return platform.Addresses{List: near[:min(len(near), addressLimit)], Keep: e.settings.Load().Keep}
 }
 
+// observe adds a request to the histogram of its route's latencies.
+func (e *Entry) observe(route string, span clock.Milli, answered bool) {
+	result := "refused"
+	if answered {
+		result = "answered"
+	}
+	name := fmt.Sprintf("jacinthferry_request_seconds{route=%q,result=%q}", route, result)
+	e.journal.Metrics().GetOrCreateHistogram(name).Update(float64(span / clock.Second))
+}
+
 func (e *Entry) metrics(w http.ResponseWriter, _ *http.Request) { e.journal.WriteMetrics(w) }
 
 // Stop leaves the directory, serves on for most of the grace, finishes what runs, and ends.
@@ -178,6 +188,7 @@
 	time.Sleep(time.Until(begin.Add((s.Grace - drainTime).Duration())))
 	ctx, cancel := context.WithDeadline(ctx, begin.Add((s.Grace - exitTime).Duration()))
 	defer cancel()
+	// The first server is the front.
 	if err := e.servers[0].Shutdown(ctx); err != nil {
 		klog.InfoS("requests cut", "name", s.Name, "err", err)
 	}
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -26,6 +26,8 @@
 	Heard  func() clock.Milli
 	Codec  Codec
 	Record func(event.Event)
+	// Observe takes how long a request on a route took, and whether it was answered.
+	Observe func(route string, span clock.Milli, answered bool)
 	// Zone is the availability zone of this daemon.
 	Zone   string
 	Policy gather.Policy
@@ -108,16 +110,16 @@
 	if call.Left <= 0 {
 		call.Left = route.Timeout
 	}
-	f := &flight{gateway: g, call: call, route: route, config: view.Config, done: make(chan struct{})}
-	f.start(view)
+	p := &pending{gateway: g, call: call, route: route, config: view.Config, done: make(chan struct{})}
+	p.start(view)
 	select {
-	case <-f.done:
-		f.stop()
+	case <-p.done:
+		p.stop()
 	case <-ctx.Done():
-		f.abandon()
+		p.abandon()
 	}
 
-	return f.answer
+	return p.answer
 }
 
 // unconfigured is the part of its time left after which a caller may come back when this daemon has
--- a/io/gateway/flight.go
+++ b/io/gateway/pending.go
@@ -13,8 +13,8 @@
 	"jacinthferry/core/reason"
 )
 
-// flight is one call while it is served. The gateway's lock guards it until done is closed.
-type flight struct {
+// pending is one call while it is served. The gateway's lock guards it until done is closed.
+type pending struct {
 	gateway *Gateway
 	call    *Call
 	route   *catalog.Route
@@ -31,113 +31,113 @@
 }
 
 // start begins the query and sends its first legs.
-func (f *flight) start(view *catalog.View) {
-	g := f.gateway
+func (p *pending) start(view *catalog.View) {
+	g := p.gateway
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.ports.Now()
 	// A caller that comes again has less time left than the route allows.
-	spent := min(max(0, f.route.Timeout-f.call.Left), f.route.Objective)
-	query, actions := g.desk.Begin(now, view, f.route, gather.Request{
-		ID: f.call.ID, Arrived: f.call.Arrived, Began: f.call.Arrived - spent - f.call.Way,
-		Deadline: f.call.Arrived + f.call.Left,
+	spent := min(max(0, p.route.Timeout-p.call.Left), p.route.Objective)
+	query, actions := g.desk.Begin(now, view, p.route, gather.Request{
+		ID: p.call.ID, Arrived: p.call.Arrived, Began: p.call.Arrived - spent - p.call.Way,
+		Deadline: p.call.Arrived + p.call.Left,
 	})
-	f.query = query
-	f.carryOut(now, actions)
+	p.query = query
+	p.carryOut(now, actions)
 }
 
 // carryOut does what the query wants done and sets the timer.
-func (f *flight) carryOut(now clock.Milli, actions []gather.Action) {
+func (p *pending) carryOut(now clock.Milli, actions []gather.Action) {
 	for i := range actions {
 		a := &actions[i]
 		switch a.Kind {
 		case gather.Send:
-			f.replies = append(f.replies, nil)
-			f.conns = append(f.conns, nil)
-			f.noteSend(a)
-			go f.send(a.Number, a.Upstream, a.Deadline)
+			p.replies = append(p.replies, nil)
+			p.conns = append(p.conns, nil)
+			p.noteSend(a)
+			go p.send(a.Number, a.Upstream, a.Deadline)
 		case gather.Cancel:
-			if c := f.conns[a.Number]; c != nil {
+			if c := p.conns[a.Number]; c != nil {
 				_ = c.SetDeadline(time.Unix(1, 0))
 			}
 		case gather.Finish:
-			f.finish(now, &a.Outcome)
+			p.finish(now, &a.Outcome)
 		}
 	}
-	f.arm(now)
+	p.arm(now)
 }
 
-func (f *flight) arm(now clock.Milli) {
-	if f.query.Done() {
+func (p *pending) arm(now clock.Milli) {
+	if p.query.Done() {
 		return
 	}
-	next := f.query.Next()
-	if f.timer != nil && f.armed == next {
+	next := p.query.Next()
+	if p.timer != nil && p.armed == next {
 		return
 	}
-	f.armed = next
+	p.armed = next
 	wait := max(0, next-now).Duration()
-	if f.timer == nil {
-		f.timer = time.AfterFunc(wait, f.due)
+	if p.timer == nil {
+		p.timer = time.AfterFunc(wait, p.due)
 
 		return
 	}
-	f.timer.Reset(wait)
+	p.timer.Reset(wait)
 }
 
-func (f *flight) due() {
-	g := f.gateway
+func (p *pending) due() {
+	g := p.gateway
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if f.query.Done() {
+	if p.query.Done() {
 		return
 	}
 	now := g.ports.Now()
-	f.armed = 0
-	f.carryOut(now, f.query.Due(now))
+	p.armed = 0
+	p.carryOut(now, p.query.Due(now))
 }
 
 // send runs one leg.
-func (f *flight) send(number int, u *catalog.Upstream, deadline clock.Milli) {
-	reply, result := f.exchange(number, u, deadline)
-	g := f.gateway
+func (p *pending) send(number int, u *catalog.Upstream, deadline clock.Milli) {
+	reply, result := p.exchange(number, u, deadline)
+	g := p.gateway
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	f.replies[number], f.conns[number] = reply, nil
+	p.replies[number], p.conns[number] = reply, nil
 	now := g.ports.Now()
 	if reply != nil && reply.Cold > 0 {
 		g.fleet.Chill(now, now+reply.Cold, u)
 	}
-	f.carryOut(now, f.query.Answered(now, number, result))
+	p.carryOut(now, p.query.Answered(now, number, result))
 }
 
 // exchange sends the call to an upstream and says how that ended.
-func (f *flight) exchange(number int, u *catalog.Upstream, deadline clock.Milli) (*Reply, gather.Result) {
-	g := f.gateway
-	c, err := f.connect(number, u, deadline)
+func (p *pending) exchange(number int, u *catalog.Upstream, deadline clock.Milli) (*Reply, gather.Result) {
+	g := p.gateway
+	c, err := p.connect(number, u, deadline)
 	if err != nil {
 		return nil, gather.Result{Run: reason.No, Reason: reason.Connection}
 	}
-	if !f.use(number, c) {
+	if !p.use(number, c) {
 		g.pool.put(u.Key(), c)
 
 		return nil, gather.Result{Run: reason.No, Reason: reason.Cancelled}
 	}
-	reply, keep, sent, err := c.exchange(g.ports.Now, &g.ports.Codec, f.call, u, deadline)
+	reply, keep, sent, err := c.exchange(g.ports.Now, &g.ports.Codec, p.call, u, deadline)
 	if keep {
 		g.pool.put(u.Key(), c)
 	} else {
 		_ = c.Close()
 	}
 	if err != nil {
-		return nil, f.broken(u, sent, err)
+		return nil, p.broken(u, sent, err)
 	}
 
-	return reply, f.judge(u, reply)
+	return reply, p.judge(u, reply)
 }
 
-func (f *flight) connect(number int, u *catalog.Upstream, deadline clock.Milli) (*conn, error) {
-	g := f.gateway
+func (p *pending) connect(number int, u *catalog.Upstream, deadline clock.Milli) (*conn, error) {
+	g := p.gateway
 	now := g.ports.Now()
 	if c := g.pool.take(now, u.Key()); c != nil {
 		return c, nil
@@ -148,7 +148,7 @@
 	if err != nil {
 		g.ports.Record(event.Event{
 			Kind: event.Connection, Reason: reason.Connection, Service: u.Service, Upstream: u.ID,
-			Request: f.call.ID, Detail: fmt.Sprintf("leg %d: %v", number, err),
+			Request: p.call.ID, Detail: fmt.Sprintf("leg %d: %v", number, err),
 		})
 	}
 
@@ -157,23 +157,35 @@
 
 // use notes the connection of a leg, so that it can be cancelled. It reports false when the caller
 // has left already.
-func (f *flight) use(number int, c *conn) bool {
-	g := f.gateway
+func (p *pending) use(number int, c *conn) bool {
+	g := p.gateway
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	f.conns[number] = c
+	p.conns[number] = c
 
-	return !f.left
+	return !p.left
+}
+
+// abandoned reports whether the caller has left.
+func (p *pending) abandoned() bool {
+	p.gateway.mu.Lock()
+	defer p.gateway.mu.Unlock()
+
+	return p.left
 }
 
 // broken says what is known of a leg that brought no answer.
-func (f *flight) broken(u *catalog.Upstream, sent bool, err error) gather.Result {
+func (p *pending) broken(u *catalog.Upstream, sent bool, err error) gather.Result {
 	run := reason.Unknown
 	if !sent {
 		run = reason.No
 	}
-	f.gateway.ports.Record(event.Event{
-		Kind: event.Connection, Reason: reason.Failed, Service: u.Service, Upstream: u.ID, Request: f.call.ID,
+	if p.abandoned() {
+		// The connection was closed here.
+		return gather.Result{Run: run, Reason: reason.Cancelled, Sent: sent}
+	}
+	p.gateway.ports.Record(event.Event{
+		Kind: event.Connection, Reason: reason.Failed, Service: u.Service, Upstream: u.ID, Request: p.call.ID,
 		Detail: err.Error(),
 	})
 
@@ -181,7 +193,7 @@
 }
 
 // judge says what an answer is worth.
-func (f *flight) judge(u *catalog.Upstream, reply *Reply) gather.Result {
+func (p *pending) judge(u *catalog.Upstream, reply *Reply) gather.Result {
 	result := gather.Result{Sent: true, Run: reason.Yes, Load: reply.Load, Reason: reason.Failed}
 	switch {
 	case reply.NotRun && reply.Other:
@@ -196,8 +208,8 @@
 		result.Reply = !reply.Promise
 	}
 	if !result.Good {
-		f.gateway.ports.Record(event.Event{
-			Kind: event.Upstream, Reason: result.Reason, Service: u.Service, Upstream: u.ID, Request: f.call.ID,
+		p.gateway.ports.Record(event.Event{
+			Kind: event.Upstream, Reason: result.Reason, Service: u.Service, Upstream: u.ID, Request: p.call.ID,
 			Detail: fmt.Sprintf("status %d, run %s", reply.Status, result.Run),
 		})
 	}
@@ -206,43 +218,48 @@
 }
 
 // finish builds the answer.
-func (f *flight) finish(now clock.Milli, outcome *gather.Outcome) {
-	defer close(f.done)
+func (p *pending) finish(now clock.Milli, outcome *gather.Outcome) {
+	defer close(p.done)
+	p.gateway.ports.Observe(p.route.Name, now-p.call.Arrived, outcome.Refusal == nil)
 	if outcome.Refusal != nil {
-		f.answer = Answer{Refusal: outcome.Refusal, Retry: outcome.Retry}
-		f.note(now, event.Refusal, outcome.Refusal.Reason, "run "+string(outcome.Refusal.Run))
+		p.answer = Answer{Refusal: outcome.Refusal, Retry: outcome.Retry}
+		p.note(now, event.Refusal, outcome.Refusal.Reason, "run "+string(outcome.Refusal.Run))
 
 		return
 	}
-	if !f.route.Gathers() {
-		f.answer = Answer{Reply: f.replies[outcome.Legs[0]]}
+	if !p.route.Gathers() {
+		p.answer = Answer{Reply: p.replies[outcome.Legs[0]]}
+		p.note(now, event.Answer, "", fmt.Sprintf("status %d", p.answer.Reply.Status))
 
 		return
 	}
 	parts := make([][]byte, 0, len(outcome.Legs))
 	stamps := make([]string, 0, len(outcome.Legs))
 	for _, number := range outcome.Legs {
-		parts = append(parts, f.replies[number].Body)
-		stamps = append(stamps, f.replies[number].Stamp)
+		parts = append(parts, p.replies[number].Body)
+		stamps = append(stamps, p.replies[number].Stamp)
 	}
-	f.answer = Answer{Stamps: stamps, Missing: len(outcome.Missing), Body: gather.Top(parts, f.route.Top)}
+	p.answer = Answer{Stamps: stamps, Missing: len(outcome.Missing), Body: gather.Top(parts, p.route.Top)}
 	if len(outcome.Missing) > 0 {
-		f.note(now, event.Partial, reason.Coverage, "without "+strings.Join(outcome.Missing, " "))
+		p.note(now, event.Partial, reason.Coverage, "without "+strings.Join(outcome.Missing, " "))
+
+		return
 	}
+	p.note(now, event.Answer, "", "whole")
 }
 
 // note records how the call ended, with what that was decided on: the configuration and how long ago
 // the store confirmed it.
-func (f *flight) note(now clock.Milli, kind event.Kind, word reason.Word, detail string) {
-	ports := &f.gateway.ports
+func (p *pending) note(now clock.Milli, kind event.Kind, word reason.Word, detail string) {
+	ports := &p.gateway.ports
 	ports.Record(event.Event{
-		Kind: kind, Reason: word, Service: f.route.Name, Request: f.call.ID, Revision: uint64(f.config.Revision),
+		Kind: kind, Reason: word, Service: p.route.Name, Request: p.call.ID, Revision: uint64(p.config.Revision),
 		Detail: fmt.Sprintf("%s, after %.0f ms of %.0f, %d legs, configuration %d, store heard %.0f ms ago",
-			detail, now-f.call.Arrived, f.call.Left, len(f.replies), f.config.Version, now-ports.Heard()),
+			detail, now-p.call.Arrived, p.call.Left, len(p.replies), p.config.Version, now-ports.Heard()),
 	})
 }
 
-func (f *flight) noteSend(a *gather.Action) {
+func (p *pending) noteSend(a *gather.Action) {
 	if a.Extra == "" {
 		return
 	}
@@ -250,32 +267,32 @@
 	if a.Extra == reason.Slow {
 		kind = event.Hedge
 	}
-	f.gateway.ports.Record(event.Event{
-		Kind: kind, Reason: a.Extra, Service: a.Service.Name, Upstream: a.Upstream.ID, Request: f.call.ID,
+	p.gateway.ports.Record(event.Event{
+		Kind: kind, Reason: a.Extra, Service: a.Service.Name, Upstream: a.Upstream.ID, Request: p.call.ID,
 	})
 }
 
 // stop ends the timer.
-func (f *flight) stop() {
-	f.gateway.mu.Lock()
-	defer f.gateway.mu.Unlock()
-	if f.timer != nil {
-		f.timer.Stop()
+func (p *pending) stop() {
+	p.gateway.mu.Lock()
+	defer p.gateway.mu.Unlock()
+	if p.timer != nil {
+		p.timer.Stop()
 	}
 }
 
 // abandon ends the query because the caller left.
-func (f *flight) abandon() {
-	g := f.gateway
+func (p *pending) abandon() {
+	g := p.gateway
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	f.left = true
+	p.left = true
 	now := g.ports.Now()
-	if !f.query.Done() {
-		f.note(now, event.Refusal, reason.Cancelled, "the caller left")
+	if !p.query.Done() {
+		p.note(now, event.Refusal, reason.Cancelled, "the caller left")
 	}
-	f.carryOut(now, f.query.Abandon(now))
-	if f.timer != nil {
-		f.timer.Stop()
+	p.carryOut(now, p.query.Abandon(now))
+	if p.timer != nil {
+		p.timer.Stop()
 	}
 }
