--- a/core/catalog/config.go
+++ b/core/catalog/config.go
@@ -51,8 +51,6 @@
 	Connections int
 	// Rate is how many requests a second a cold upstream bears, or 0 for no limit.
 	Rate float64
-	// Warmup is how long an upstream stays cold after its start.
-	Warmup clock.Milli
 }
 
 // Limits bound what a caller may send.
@@ -74,13 +72,12 @@
 	Services map[string]Service
 	Limits   Limits
 	hosts    map[string]map[string]*Route
-	routes   int
 }
 
 // NewConfig returns a configuration with the given routes.
 func NewConfig(version, revision int64, routes []Route, services []Service, limits Limits) *Config {
 	c := &Config{
-		Version: version, Revision: revision, Limits: limits, routes: len(routes),
+		Version: version, Revision: revision, Limits: limits,
 		Services: make(map[string]Service, len(services)),
 		hosts:    make(map[string]map[string]*Route),
 	}
@@ -98,9 +95,6 @@
 	return c
 }
 
-// Len returns the number of routes.
-func (c *Config) Len() int { return c.routes }
-
 // Match returns the route of the host with the longest prefix that path begins with, or nil.
 // Prefixes begin and end with a slash.
 func (c *Config) Match(host, path string) *Route {
--- a/core/catalog/view.go
+++ b/core/catalog/view.go
@@ -67,8 +67,5 @@
 // changed.
 func (v *View) Usable(service string) []*Upstream { return v.usable[service] }
 
-// Known returns how many upstreams are registered, draining ones included.
-func (v *View) Known() int { return len(v.known) }
-
 // Has reports whether an upstream is registered.
 func (v *View) Has(k Key) bool { return v.known[k] }
--- a/io/gateway/conn.go
+++ b/io/gateway/conn.go
@@ -47,7 +47,6 @@
 	reader *bufio.Reader
 	// expires is when it is not used any more.
 	expires clock.Milli
-	reused  bool
 }
 
 // exchange writes a request and reads its answer. Keep reports whether the connection can be used
@@ -146,7 +145,6 @@
 		span = min(span, seconds-idleMargin)
 	}
 	c.expires = now + span
-	c.reused = true
 }
 
 // usable reports whether an idle connection is open and no stray bytes came on it.
--- a/io/settings/entry.go
+++ b/io/settings/entry.go
@@ -2,13 +2,11 @@
 
 import (
 	"encoding/json"
-	"os"
 	"sync"
 
 	"github.com/pkg/errors"
 
 	"jacinthferry/core/clock"
-	"jacinthferry/core/fault"
 	"jacinthferry/io/schema"
 )
 
@@ -78,19 +76,14 @@
 
 // ReadEntry reads the file at path over the defaults. It refuses unknown fields.
 func ReadEntry(path string) (Entry, error) {
-	text, err := os.ReadFile(path)
-	if err != nil {
-		return Entry{}, errors.Wrap(ErrSettings, err.Error())
-	}
-	e, found, err := ParseEntry(text)
-	if err != nil {
-		return Entry{}, errors.Wrapf(ErrSettings, "%s: %v", path, err)
-	}
-	if len(found) > 0 {
-		return Entry{}, errors.Wrapf(ErrSettings, "%s:\n%s", path, fault.Text(found))
-	}
+	var e Entry
+	err := readFile(path, func(text []byte) (found []Fault, err error) {
+		e, found, err = ParseEntry(text)
+
+		return found, err
+	})
 
-	return e, nil
+	return e, err
 }
 
 // ParseEntry reads text over the defaults and returns everything that is wrong with it. The error
--- a/io/settings/settings.go
+++ b/io/settings/settings.go
@@ -65,19 +65,32 @@
 
 // Read reads the file at path over the defaults. It refuses unknown fields.
 func Read(path string) (Settings, error) {
+	var s Settings
+	err := readFile(path, func(text []byte) (found []Fault, err error) {
+		s, found, err = Parse(text)
+
+		return found, err
+	})
+
+	return s, err
+}
+
+// readFile reads the file at path with parse and turns what is wrong with it into one error that
+// wraps ErrSettings.
+func readFile(path string, parse func(text []byte) ([]Fault, error)) error {
 	text, err := os.ReadFile(path)
 	if err != nil {
-		return Settings{}, errors.Wrap(ErrSettings, err.Error())
+		return errors.Wrap(ErrSettings, err.Error())
 	}
-	s, found, err := Parse(text)
+	found, err := parse(text)
 	if err != nil {
-		return Settings{}, errors.Wrapf(ErrSettings, "%s: %v", path, err)
+		return errors.Wrapf(ErrSettings, "%s: %v", path, err)
 	}
 	if len(found) > 0 {
-		return Settings{}, errors.Wrapf(ErrSettings, "%s:\n%s", path, fault.Text(found))
+		return errors.Wrapf(ErrSettings, "%s:\n%s", path, fault.Text(found))
 	}
 
-	return s, nil
+	return nil
 }
 
 // Parse reads text over the defaults and returns everything that is wrong with it: by the schema
