Move a service to another version by an operator's order

Cause: orders for version moves were read by nobody; requests went to upstreams of every version at once. Change: core/rollout decides the stages (trial, shift, completed, back) and judges the new version by route; io/registry takes steps by conditional writes, so no daemon is in charge; the view offers the upstreams of the stage. Settings: trial (share of the requests). The deploy template leaves out bounds that a deployment does not name, instead of writing broken JSON. Also: a configuration that cannot be read no longer puts the one before it out of force.

--- a/core/catalog/view.go
+++ b/core/catalog/view.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 
 	"jacinthferry/core/clock"
@@ -45,6 +46,10 @@
 	Config *Config
 	usable map[string][]*Upstream
 	known  map[Key]bool
+	// moves are the services that move to another version, and trial the upstreams of that version
+	// while only a share of the requests goes there.
+	moves map[string]Move
+	trial map[string][]*Upstream
 }
 
 // NewView returns a view. Upstreams that drain and those in a zone of out are not offered.
@@ -69,3 +74,35 @@
 
 // Has reports whether an upstream is registered.
 func (v *View) Has(k Key) bool { return v.known[k] }
+
+// WithMoves returns the view while services move to other versions.
+func (v *View) WithMoves(moves map[string]Move) *View {
+	moved := *v
+	moved.moves = moves
+	moved.trial = make(map[string][]*Upstream)
+	moved.usable = maps.Clone(v.usable)
+	for service, m := range moves {
+		var target, rest []*Upstream
+		for _, u := range v.usable[service] {
+			if u.Version == m.Version {
+				target = append(target, u)
+			} else {
+				rest = append(rest, u)
+			}
+		}
+		moved.usable[service], moved.trial[service] = m.Stage.place(target, rest)
+	}
+
+	return &moved
+}
+
+// Trial returns the upstreams that a share of a service's requests tries, ordered by ID. It must not
+// be changed.
+func (v *View) Trial(service string) []*Upstream { return v.trial[service] }
+
+// Move returns the move of a service, if there is one.
+func (v *View) Move(service string) (Move, bool) {
+	m, ok := v.moves[service]
+
+	return m, ok
+}
--- a/core/gather/desk.go
+++ b/core/gather/desk.go
@@ -7,6 +7,7 @@
 	"jacinthferry/core/clock"
 	"jacinthferry/core/latency"
 	"jacinthferry/core/reason"
+	"jacinthferry/core/rollout"
 )
 
 // Policy holds the limits and weights of a daemon's requests.
@@ -17,9 +18,13 @@
 	Slack float64
 	// Reserve is the time kept back from a deadline for the answer's way to the caller.
 	Reserve clock.Milli
+	// Trial is the share of a service's requests that a version on trial gets at most.
+	Trial float64
 }
 
 const (
+	// trialUse is the part of Trial that is used. The rest is for repeated sends.
+	trialUse = 0.8
 	// latencySpan is for how long latencies of a route count.
 	latencySpan = 5 * clock.Second
 	// hedgeQuantile is the part of the answers that come before a second upstream is asked.
@@ -50,6 +55,7 @@
 	uniform   func() float64
 	budgets   map[string]*budget.Bucket
 	latencies map[string]*latency.Window
+	judge     *rollout.Judge
 	actions   []Action
 }
 
@@ -59,6 +65,7 @@
 	return &Desk{
 		policy: policy, fleet: fleet, daemons: daemons, uniform: uniform,
 		budgets: make(map[string]*budget.Bucket), latencies: make(map[string]*latency.Window),
+		judge: rollout.NewJudge(),
 	}
 }
 
@@ -87,6 +94,7 @@
 	for i, name := range services {
 		q.shards[i].service = view.Config.Services[name]
 		q.shards[i].service.Name = name
+		q.shards[i].trial = d.tries(view, name)
 		d.budget(now, name).Earn(1)
 	}
 	if !q.refuseHopeless(now) {
@@ -119,6 +127,14 @@
 	return route.Split[len(route.Split)-1].Service
 }
 
+// tries reports whether a request goes to the version of a service that is on trial.
+func (d *Desk) tries(view *catalog.View, service string) bool {
+	return len(view.Trial(service)) > 0 && d.uniform() < trialUse*d.policy.Trial
+}
+
+// Bad reports whether the version that a service moves to was found to be worse than the one before.
+func (d *Desk) Bad(service string, move catalog.Move) bool { return d.judge.Bad(service, move) }
+
 // budget returns this daemon's part of the extra sends to a service.
 func (d *Desk) budget(now clock.Milli, service string) *budget.Bucket {
 	burst := max(1, extraUse*d.policy.Slack/float64(max(1, d.daemons())))
--- a/core/gather/legs.go
+++ b/core/gather/legs.go
@@ -63,6 +63,9 @@
 // choose returns the upstream for a shard's next leg, or nil. One that did not have the request goes
 // first, while the route allows more upstreams; then one that had it.
 func (q *Query) choose(now clock.Milli, i int) *catalog.Upstream {
+	if u := q.chooseTrial(now, i); u != nil {
+		return u
+	}
 	ran := q.ran(i)
 	if len(ran) < max(1, q.route.Attempts) {
 		had := func(u *catalog.Upstream) bool { return slices.Contains(ran, u.Key()) }
@@ -79,6 +82,19 @@
 	})
 }
 
+// chooseTrial returns an upstream of the version on trial for the first leg of a shard that tries it,
+// or nil. Later legs go to the version that ran before.
+func (q *Query) chooseTrial(now clock.Milli, i int) *catalog.Upstream {
+	s := &q.shards[i]
+	if !s.trial {
+		return nil
+	}
+	s.trial = false
+	none := func(*catalog.Upstream) bool { return false }
+
+	return q.desk.fleet.Choose(now, s.service, q.view.Trial(s.service.Name), none)
+}
+
 func (q *Query) chooseFrom(now clock.Milli, i int, excluded func(*catalog.Upstream) bool) *catalog.Upstream {
 	s := &q.shards[i]
 
--- a/core/gather/query.go
+++ b/core/gather/query.go
@@ -7,6 +7,7 @@
 	"jacinthferry/core/clock"
 	"jacinthferry/core/latency"
 	"jacinthferry/core/reason"
+	"jacinthferry/core/rollout"
 )
 
 const (
@@ -48,6 +49,8 @@
 	// while the first is late.
 	due clock.Milli
 	why reason.Word
+	// trial is set when the first leg goes to a version on trial.
+	trial bool
 	// reply is set when leg answer brought a failure that may be passed on.
 	reply bool
 }
@@ -150,8 +153,9 @@
 	return next
 }
 
-// report tells the fleet how a leg went.
+// report tells the fleet and the judge of version moves how a leg went.
 func (q *Query) report(now clock.Milli, l *leg, result Result) {
+	q.testify(now, l, result)
 	fleet := q.desk.fleet
 	switch {
 	case result.Good:
@@ -170,6 +174,17 @@
 	}
 }
 
+// testify tells the judge how a leg went that an upstream ran.
+func (q *Query) testify(now clock.Milli, l *leg, result Result) {
+	move, moving := q.view.Move(l.upstream.Service)
+	if !moving || !l.ran || result.Reason == reason.Cancelled {
+		return
+	}
+	q.desk.judge.Add(move, rollout.Answer{
+		Service: l.upstream.Service, Route: q.route.Name, Version: l.upstream.Version, Good: result.Good, Latency: now - l.at,
+	})
+}
+
 // failed goes on after a leg that brought no answer.
 func (q *Query) failed(now clock.Milli, l *leg, number int, result Result) {
 	s := &q.shards[l.shard]
--- a/core/gather/query_test.go
+++ b/core/gather/query_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 
 	"jacinthferry/core/balance"
 	"jacinthferry/core/catalog"
@@ -24,7 +25,7 @@
 	route *catalog.Route
 }
 
-var policy = gather.Policy{Extra: 0.2, Slack: 50, Reserve: 5}
+var policy = gather.Policy{Extra: 0.2, Slack: 50, Reserve: 5, Trial: 0.1}
 
 func one() int { return 1 }
 
@@ -310,3 +311,81 @@
 		}
 	})
 })
+
+var _ = Describe("a query while a service moves to another version", func() {
+	// moving returns a desk with one shard whose second upstream has the version on trial.
+	moving := func(stage catalog.Stage) *desk {
+		d := newDesk(1, 1, lookup)
+		list := append(slices.Clone(d.view.Usable("shard0")), &catalog.Upstream{
+			ID: "new", Service: "shard0", Zone: "zone0", Slots: 2, Version: "v2",
+		})
+		d.view = catalog.NewView(d.view.Config, list, nil).
+			WithMoves(map[string]catalog.Move{"shard0": {Version: "v2", Stage: stage, Order: 1}})
+
+		return d
+	}
+	// toNew plays requests and returns the share of first legs and of all legs that the new version
+	// got. Its answers are late or not.
+	toNew := func(d *desk, late bool) (first, all float64) {
+		sends, firsts, news := 0, 0, 0
+		const queries = 4000
+		now := start
+		for range queries {
+			q, actions := d.begin(now)
+			for n, a := range kinds(actions, gather.Send) {
+				sends++
+				if a.Upstream.ID != "new" || !late {
+					q.Answered(now+10, n, good)
+				}
+				if a.Upstream.ID == "new" {
+					firsts++
+					news++
+				}
+			}
+			for _, a := range kinds(q.Due(now+100), gather.Send) {
+				sends++
+				if a.Upstream.ID == "new" {
+					news++
+				}
+				q.Answered(now+110, a.Number, good)
+			}
+			q.Answered(now+200, 0, good)
+			now += 250
+		}
+
+		return float64(firsts) / queries, float64(news) / float64(sends)
+	}
+
+	It("tries the new version with a share of the requests", func() {
+		first, all := toNew(moving(catalog.Trial), false)
+		Expect(first).To(BeNumerically("~", 0.08, 0.02))
+		Expect(all).To(BeNumerically("<=", 0.1))
+	})
+
+	It("repeats what is late at the version that ran before", func() {
+		_, all := toNew(moving(catalog.Trial), true)
+		Expect(all).To(BeNumerically("<=", 0.1))
+	})
+
+	It("sends all to the new version, or none, once that is decided", func() {
+		for stage, share := range map[catalog.Stage]float64{catalog.Shift: 1, catalog.Completed: 1, catalog.Back: 0} {
+			first, all := toNew(moving(stage), false)
+			Expect(first).To(Equal(share), string(stage))
+			Expect(all).To(Equal(share), string(stage))
+		}
+	})
+
+	It("finds the new version bad from its answers", func() {
+		d := moving(catalog.Trial)
+		move, _ := d.view.Move("shard0")
+		for now := start; !d.Bad("shard0", move); now += 100 {
+			Expect(now).To(BeNumerically("<", start+100*clock.Second))
+			q, actions := d.begin(now)
+			result := good
+			if actions[0].Upstream.ID == "new" {
+				result = gather.Result{Sent: true, Run: reason.Yes, Reason: reason.Failed}
+			}
+			q.Answered(now+10, 0, result)
+		}
+	})
+})
--- /dev/null
+++ b/core/rollout/judge.go
@@ -0,0 +1,113 @@
+package rollout
+
+import (
+	"jacinthferry/core/catalog"
+	"jacinthferry/core/clock"
+)
+
+const (
+	// gain is the weight of a new sample in the moving averages of the old version.
+	gain = 0.05
+	// samplesLeast is how many answers of the old version make its latency known.
+	samplesLeast = 5
+	// slowTimes is how many times as long as the old version's an answer takes that counts as slow.
+	slowTimes = 3
+	// slowWeight is how much a slow answer counts beside a failure. Upstreams pause now and then.
+	slowWeight = 0.7
+	// The share of failures that is allowed to the new version: failureTimes that of the old one, and
+	// failureSlack.
+	failureTimes = 2
+	failureSlack = 0.1
+	// tripAt is the sum of failures beyond what is allowed at which a version is found to be bad.
+	tripAt = 3
+)
+
+// Answer is how one leg to a service with a move went.
+type Answer struct {
+	Service string
+	Route   string
+	// Version is the one of the upstream that was asked.
+	Version string
+	Good    bool
+	Latency clock.Milli
+}
+
+// Judge compares the answers of a new version with those of the old one, for each route, because a
+// version may be bad on one route only. It is not safe for concurrent use.
+type Judge struct {
+	cases map[string]*trial
+}
+
+// trial is the evidence of one move.
+type trial struct {
+	// order is the one that the move follows.
+	order  int64
+	bad    bool
+	routes map[string]*evidence
+}
+
+// evidence is what the answers on one route show.
+type evidence struct {
+	// latency and failures are averages of the old version, and samples the answers that they are of.
+	latency  clock.Milli
+	failures float64
+	samples  int
+	// excess is how far the new version's failures are beyond what is allowed.
+	excess float64
+}
+
+// NewJudge returns a judge without evidence.
+func NewJudge() *Judge { return &Judge{cases: make(map[string]*trial)} }
+
+// Add takes an answer to a request on a service that is moved.
+func (j *Judge) Add(move catalog.Move, a Answer) {
+	t := j.cases[a.Service]
+	if t == nil || t.order != move.Order {
+		t = &trial{order: move.Order, routes: make(map[string]*evidence)}
+		j.cases[a.Service] = t
+	}
+	e := t.routes[a.Route]
+	if e == nil {
+		e = &evidence{}
+		t.routes[a.Route] = e
+	}
+	if a.Version != move.Version {
+		e.learn(a)
+
+		return
+	}
+	e.excess = max(0, e.excess+e.weigh(a)-failureTimes*e.failures-failureSlack)
+	t.bad = t.bad || e.excess >= tripAt
+}
+
+// Bad reports whether the version that a service is moved to was found to be worse.
+func (j *Judge) Bad(service string, move catalog.Move) bool {
+	t := j.cases[service]
+
+	return t != nil && t.bad && t.order == move.Order
+}
+
+// learn takes an answer of the old version.
+func (e *evidence) learn(a Answer) {
+	e.failures += gain * (e.weigh(a) - e.failures)
+	if !a.Good {
+		return
+	}
+	if e.samples == 0 {
+		e.latency = a.Latency
+	}
+	e.samples++
+	e.latency += gain * (min(a.Latency, slowTimes*e.latency) - e.latency)
+}
+
+// weigh returns how much an answer counts as a failure, from 0 to 1.
+func (e *evidence) weigh(a Answer) float64 {
+	switch {
+	case !a.Good:
+		return 1
+	case e.samples >= samplesLeast && a.Latency > slowTimes*e.latency:
+		return slowWeight
+	default:
+		return 0
+	}
+}
--- /dev/null
+++ b/core/rollout/suite_test.go
@@ -0,0 +1,9 @@
+package rollout_test
+
+import (
+	"testing"
+
+	"jacinthferry/standin/suite"
+)
+
+func TestRollout(t *testing.T) { suite.Run(t, "rollout") }
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 	"k8s.io/klog/v2"
 
+	"jacinthferry/core/catalog"
 	"jacinthferry/core/clock"
 	"jacinthferry/core/gather"
 	"jacinthferry/io/gateway"
@@ -63,6 +64,7 @@
 	store := &http.Client{Transport: &http.Transport{DialContext: socket.Dialer(storeDial, storeAck).DialContext}}
 	ports := registry.Ports{
 		Now: now, Store: platform.NewStore(s.Store, store), Decode: platform.Decode, Record: e.journal.Record,
+		Bad: e.bad, Report: platform.EncodeReport,
 		Self: registry.Member{Name: s.Name, Front: s.Front, Zone: s.Zone, Cores: s.Cores * s.Share},
 	}
 	e.registry = registry.New(ports)
@@ -86,8 +88,11 @@
 	return e, nil
 }
 
+// bad reports whether this daemon found a version that a service moves to worse than the one before.
+func (e *Entry) bad(service string, m catalog.Move) bool { return e.gateway.Bad(service, m) }
+
 func policy(s settings.Entry) gather.Policy {
-	return gather.Policy{Extra: s.Repeats.Ratio, Slack: s.Repeats.Slack, Reserve: reserve}
+	return gather.Policy{Extra: s.Repeats.Ratio, Slack: s.Repeats.Slack, Reserve: reserve, Trial: s.Trial}
 }
 
 // Reload takes new settings. Those that a running process cannot change, such as addresses, stay as
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -61,6 +61,14 @@
 	g.desk.SetPolicy(p)
 }
 
+// Bad reports whether the version that a service moves to was found to be worse than the one before.
+func (g *Gateway) Bad(service string, m catalog.Move) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+
+	return g.desk.Bad(service, m)
+}
+
 // Run drops what nothing needs any more until ctx ends.
 func (g *Gateway) Run(ctx context.Context) {
 	ticker := time.NewTicker(pruneEvery)
--- a/io/registry/entries.go
+++ b/io/registry/entries.go
@@ -7,7 +7,8 @@
 	"jacinthferry/io/store"
 )
 
-// apply takes one entry as the store holds it and reports whether the state changed.
+// apply takes one entry as the store holds it and reports whether the state changed. An entry that
+// cannot be read says nothing; the configuration before it stays in force.
 func (r *Registry) apply(now clock.Milli, e store.Entry) bool {
 	old, known := r.entries[e.Key]
 	if known && e.Revision <= old.revision {
@@ -19,7 +20,9 @@
 	record, err := r.ports.decode(e, now)
 	if err != nil {
 		r.note(event.Event{Kind: event.Upstream, Reason: reason.Invalid, Detail: err.Error()})
-		delete(r.entries, e.Key)
+		if old.record.Kind != Config {
+			delete(r.entries, e.Key)
+		}
 
 		return known
 	}
@@ -32,12 +35,12 @@
 	return true
 }
 
-// vanished takes an entry that is gone. Configuration stays in force; daemons and upstreams are
+// vanished takes an entry that is gone. Configuration and version moves stay in force; daemons and upstreams are
 // believed a little longer while the store is in trouble.
 func (r *Registry) vanished(now clock.Milli, key string) bool {
 	h := r.entries[key]
 	switch h.record.Kind {
-	case Config:
+	case Config, Order, Progress, Report:
 		return false
 	case Upstream, Daemon:
 		if now < r.troubled {
@@ -103,6 +106,16 @@
 		}
 	case ZoneOut:
 		r.note(event.Event{Kind: event.Zone, Zone: record.Zone, Revision: uint64(e.Revision), Detail: "out"})
+	case Order:
+		r.note(event.Event{
+			Kind: event.Move, Service: record.Order.Service, Version: record.Order.Version, Revision: uint64(e.Revision),
+			Detail: "ordered, within " + record.Order.Span.String(),
+		})
+	case Progress:
+		r.note(event.Event{
+			Kind: event.Move, Version: record.Progress.Move.Version, Revision: uint64(e.Revision),
+			Detail: e.Key + " " + string(record.Progress.Move.Stage),
+		})
 	case Daemon:
 		r.note(event.Event{Kind: event.Member, Detail: record.Member.Name, Revision: uint64(e.Revision)})
 	default:
--- /dev/null
+++ b/io/registry/moves_test.go
@@ -0,0 +1,100 @@
+package registry_test
+
+import (
+	"jacinthferry/core/catalog"
+	"jacinthferry/core/clock"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+var _ = Describe("a version move", func() {
+	report := func(r *rig) string { return r.entries["report/s"].Value }
+	stage := func(r *rig) catalog.Stage {
+		m, _ := r.View().Move("s")
+
+		return m.Stage
+	}
+	begin := func() *rig {
+		r := newRig(self)
+		r.put("c", "config")
+		r.put("u1", "upstream s")
+		r.turn(0)
+		r.put("order", "order v2")
+		r.turn(1000)
+
+		return r
+	}
+
+	It("is tried, shifted and completed, and told to the operators", func() {
+		r := begin()
+		Expect(stage(r)).To(Equal(catalog.Trial))
+		Expect(report(r)).To(Equal("report trial"))
+		Expect(r.writes).To(Equal(2))
+		r.turn(10_000)
+		Expect(r.writes).To(Equal(2), "nothing is written while nothing changes")
+		r.turn(20_000)
+		Expect(stage(r)).To(Equal(catalog.Shift))
+		r.turn(4000)
+		Expect(stage(r)).To(Equal(catalog.Completed))
+		Expect(report(r)).To(Equal("report completed"))
+		r.bad = true
+		r.turn(1000)
+		Expect(stage(r)).To(Equal(catalog.Completed))
+	})
+
+	It("goes back when the new version is bad, and stays there", func() {
+		r := begin()
+		r.bad = true
+		r.turn(1000)
+		Expect(stage(r)).To(Equal(catalog.Back))
+		Expect(report(r)).To(Equal("report back"))
+		r.bad = false
+		r.turn(60 * clock.Second)
+		Expect(stage(r)).To(Equal(catalog.Back))
+	})
+
+	It("is on trial from the moment its order is known, also when nothing can be written", func() {
+		r := newRig(self)
+		r.put("c", "config")
+		r.put("order", "order v2")
+		r.lose = true
+		r.turn(0)
+		Expect(stage(r)).To(Equal(catalog.Trial))
+		r.lose = false
+		r.turn(1000)
+		r.turn(1000)
+		Expect(report(r)).To(Equal("report trial"))
+	})
+
+	It("follows the step that another daemon took", func() {
+		r := begin()
+		Expect(r.entries["order"].Revision).To(BeEquivalentTo(3))
+		r.put("jacinthferry/moves/s", `{"order":3,"version":"v2","stage":"back"}`)
+		r.turn(1000)
+		Expect(stage(r)).To(Equal(catalog.Back))
+		Expect(report(r)).To(Equal("report back"))
+	})
+
+	It("takes no step over one that it has not seen", func() {
+		r := begin()
+		r.put("jacinthferry/moves/s", `{"order":3,"version":"v2","stage":"back"}`)
+		r.pending = nil
+		r.turn(30_000)
+		Expect(r.entries["jacinthferry/moves/s"].Value).To(ContainSubstring("back"))
+	})
+
+	It("begins anew with a new order", func() {
+		r := begin()
+		r.bad = true
+		r.turn(1000)
+		Expect(stage(r)).To(Equal(catalog.Back))
+		r.bad = false
+		r.put("order", "order v3")
+		r.turn(1000)
+		m, _ := r.View().Move("s")
+		Expect(m.Version).To(Equal("v3"))
+		Expect(m.Stage).To(Equal(catalog.Trial))
+		Expect(report(r)).To(Equal("report trial"))
+	})
+})
--- a/io/registry/record.go
+++ b/io/registry/record.go
@@ -6,6 +6,7 @@
 
 	"jacinthferry/core/catalog"
 	"jacinthferry/core/clock"
+	"jacinthferry/core/rollout"
 	"jacinthferry/io/store"
 )
 
@@ -24,6 +25,11 @@
 	ZoneOut
 	// Daemon is one of the daemons.
 	Daemon
+	// Order asks for a version move, Progress is how far the daemons have taken it, and Report what the
+	// operators are told of it.
+	Order
+	Progress
+	Report
 )
 
 // Record is what an entry of the store says.
@@ -33,6 +39,10 @@
 	Upstream *catalog.Upstream
 	Zone     string
 	Member   Member
+	Order    rollout.Order
+	Progress rollout.Progress
+	// Text is a report as it was written.
+	Text string
 }
 
 // Member is one daemon.
@@ -62,8 +72,11 @@
 	return string(text), err //nolint:wrapcheck // Two strings are always encoded.
 }
 
-// decode reads an entry: a daemon's here, any other as the platform writes it.
+// decode reads an entry: the daemons' own here, any other as the platform writes it.
 func (p *Ports) decode(e store.Entry, now clock.Milli) (Record, error) {
+	if strings.HasPrefix(e.Key, movePrefix) {
+		return decodeMove(e, now)
+	}
 	name, ok := strings.CutPrefix(e.Key, memberPrefix)
 	if !ok {
 		return p.Decode(e, now)
--- a/io/registry/registry.go
+++ b/io/registry/registry.go
@@ -41,6 +41,11 @@
 	Store  store.Store
 	Decode func(e store.Entry, now clock.Milli) (Record, error)
 	Record func(event.Event)
+	// Bad reports whether this daemon found the version that a service moves to worse than the one
+	// before.
+	Bad func(service string, m catalog.Move) bool
+	// Report returns the key and text that tell the operators of a move.
+	Report func(service string, m catalog.Move) (key, text string, err error)
 	// Self is this daemon's own entry.
 	Self Member
 }
@@ -146,6 +151,9 @@
 		return r.backoff * clock.Milli(0.5+rand.Float64()/2)
 	}
 	r.regained()
+	if !r.standsBy() {
+		r.advance(ctx)
+	}
 	switch {
 	case r.standsBy():
 		return standbyPause
@@ -187,10 +195,13 @@
 }
 
 // patience returns how long a watch may wait: no longer than until the next entry that vanished is
-// forgotten.
+// forgotten, and shorter while a version move is under way.
 func (r *Registry) patience() clock.Milli {
 	now := r.ports.Now()
 	wait := watchWait
+	if r.moving() {
+		wait = moveWait
+	}
 	for _, h := range r.entries {
 		if h.until != 0 {
 			wait = min(wait, max(watchLeast, h.until-now))
--- a/io/registry/registry_test.go
+++ b/io/registry/registry_test.go
@@ -11,6 +11,7 @@
 	"jacinthferry/core/clock"
 	"jacinthferry/core/event"
 	"jacinthferry/core/reason"
+	"jacinthferry/core/rollout"
 	"jacinthferry/io/registry"
 	"jacinthferry/io/store"
 
@@ -29,6 +30,10 @@
 	waited   clock.Milli
 	lists    int
 	stales   int
+	bad      bool
+	// lose is set while writes take effect and their answers are lost.
+	lose   bool
+	writes int
 }
 
 // decode reads "upstream SERVICE", "config VERSION" and "out ZONE".
@@ -43,6 +48,12 @@
 		return registry.Record{
 			Kind: registry.Config, Config: catalog.NewConfig(e.Revision, e.Revision, nil, nil, catalog.Limits{}),
 		}, nil
+	case "order":
+		return registry.Record{Kind: registry.Order, Order: rollout.Order{
+			Service: "s", Version: rest, Span: 40 * clock.Second, Revision: e.Revision, Seen: now,
+		}}, nil
+	case "report":
+		return registry.Record{Kind: registry.Report, Text: e.Value}, nil
 	case "out":
 		return registry.Record{Kind: registry.ZoneOut, Zone: rest}, nil
 	default:
@@ -85,7 +96,26 @@
 			return events, r.revision, nil
 		},
 	}
+	port.Put = func(_ context.Context, key, value string, expect int64, _ string) (store.Write, error) {
+		r.writes++
+		if r.fail != nil {
+			return store.Write{}, r.fail
+		}
+		if r.entries[key].Revision != expect {
+			return store.Write{Current: r.entries[key]}, nil
+		}
+		r.put(key, value)
+		if r.lose {
+			return store.Write{}, errDown
+		}
+
+		return store.Write{Done: true, Revision: r.revision}, nil
+	}
 	r.Registry = registry.New(registry.Ports{
+		Bad: func(string, catalog.Move) bool { return r.bad },
+		Report: func(service string, m catalog.Move) (string, string, error) {
+			return "report/" + service, "report " + string(m.Stage), nil
+		},
 		Now: func() clock.Milli { return r.now }, Store: port, Decode: decode,
 		Record: func(event.Event) {}, Self: self,
 	})
--- a/io/registry/state.go
+++ b/io/registry/state.go
@@ -23,6 +23,7 @@
 	var config *catalog.Config
 	var upstreams []*catalog.Upstream
 	out := make(map[string]bool)
+	moves := make(map[string]catalog.Move)
 	for _, h := range r.entries {
 		switch h.record.Kind {
 		case Config:
@@ -31,12 +32,18 @@
 			upstreams = append(upstreams, h.record.Upstream)
 		case ZoneOut:
 			out[h.record.Zone] = true
+		case Order:
+			moves[h.record.Order.Service] = r.move(h.record.Order)
 		default:
 		}
 	}
+	view := catalog.NewView(config, upstreams, out)
+	if len(moves) > 0 {
+		view = view.WithMoves(moves)
+	}
 	members := r.rank(now)
 	r.state.Store(&State{
-		View: catalog.NewView(config, upstreams, out), Members: members, Standby: r.standby,
+		View: view, Members: members, Standby: r.standby,
 		Daemons: r.count(now, len(members)), Revision: r.after, At: now,
 	})
 }
--- a/io/settings/entry.go
+++ b/io/settings/entry.go
@@ -31,6 +31,8 @@
 	Grace clock.Milli `json:"grace"`
 	// Repeats bounds the requests that are sent once more.
 	Repeats Repeats `json:"repeats"`
+	// Trial is the share of a service's requests that a new version gets at most while it is tried.
+	Trial float64 `json:"trial"`
 	// Cores is how many processor cores the daemon has, and Share the part of them that it may use.
 	Cores float64 `json:"cores"`
 	Share float64 `json:"share"`
@@ -50,7 +52,7 @@
 // DefaultEntry returns settings that lack only names and addresses.
 func DefaultEntry() Entry {
 	return Entry{
-		Keep: 2 * clock.Second, Grace: 6 * clock.Second, Repeats: Repeats{Ratio: 0.2, Slack: 50},
+		Keep: 2 * clock.Second, Grace: 6 * clock.Second, Repeats: Repeats{Ratio: 0.2, Slack: 50}, Trial: 0.1,
 		Cores: 1, Share: 1, Memory: 256, Growth: 200,
 	}
 }
@@ -64,6 +66,7 @@
 		within("keep", float64(e.Keep), float64(100*clock.Millisecond), float64(clock.Minute)),
 		within("grace", float64(e.Grace), float64(clock.Second), float64(10*clock.Minute)),
 		within("repeats.ratio", e.Repeats.Ratio, 0.01, 1), within("repeats.slack", e.Repeats.Slack, 0, 1e6),
+		within("trial", e.Trial, 0.001, 0.5),
 		within("cores", e.Cores, 0.01, 1024), within("share", e.Share, 0.001, 1),
 		within("memory", float64(e.Memory), 32, 1e6), within("growth", float64(e.Growth), 10, 10000),
 	)
--- a/io/settings/entry_test.go
+++ b/io/settings/entry_test.go
@@ -92,6 +92,7 @@
 			{"{{bounds.graceS}}", "6"},
 			{"{{bounds.retryRatio|json}}", "0.2"},
 			{"{{bounds.retrySlack|json}}", "54"},
+			{"{{bounds.canaryShare|json}}", "0.05"},
 			{"{{limits.vcpus|json}}", "1"},
 			{"{{limits.cpuShare|json}}", "0.4"},
 			{"{{limits.memoryMb|json}}", "284"},
@@ -100,10 +101,23 @@
 			Expect(text).To(ContainSubstring(s.place))
 			text = strings.ReplaceAll(text, s.place, s.value)
 		}
-		e, found, err := settings.ParseEntry([]byte(text))
-		Expect(err).NotTo(HaveOccurred(), text)
-		Expect(found).To(BeEmpty())
+		parse := func(text string) settings.Entry {
+			e, found, err := settings.ParseEntry([]byte(text))
+			Expect(err).NotTo(HaveOccurred(), text)
+			Expect(found).To(BeEmpty())
+
+			return e
+		}
+		marks := regexp.MustCompile(`\{\{[#/][\w.]+\}\}`)
+		e := parse(marks.ReplaceAllString(text, ""))
 		Expect(e.Repeats).To(Equal(settings.Repeats{Ratio: 0.2, Slack: 54}))
+		Expect(e.Trial).To(Equal(0.05))
+
+		By("leaving out what the platform does not name")
+		sections := regexp.MustCompile(`\{\{#[\w.]+\}\}.*\{\{/[\w.]+\}\}`)
+		Expect(sections.FindAllString(text, -1)).To(HaveLen(2))
+		e = parse(sections.ReplaceAllString(text, ""))
+		Expect(e.Repeats).To(Equal(settings.DefaultEntry().Repeats))
 	})
 
 	It("have a published schema", func() {
