Apply the operators' limits on headers and idle connections

Cause: of the limits in the configuration only the one on bodies was applied, and package platform decided what holds while none is known. Change: the gateway says what a caller may send, with defaults of its own; a header over the limit gets 431; connections that are unused for too long are closed, by the limit in force.

--- a/core/catalog/config.go
+++ b/core/catalog/config.go
@@ -58,10 +58,8 @@
 	// Header and Body are in bytes.
 	Header int
 	Body   int
-	// Patience is how long the header of a request may take, and Idle how long a connection may
-	// stay unused.
-	Patience clock.Milli
-	Idle     clock.Milli
+	// Idle is how long a connection may stay unused.
+	Idle clock.Milli
 }
 
 // Config is one version of the operators' configuration.
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -36,11 +36,10 @@
 	// waited for, and exitTime before it the process ends.
 	drainTime = 1300 * clock.Millisecond
 	exitTime  = 300 * clock.Millisecond
-	// headerTimeout bounds the reading of a request's header, headerLimit its bytes, and idleTimeout
-	// how long a caller's connection may stay unused.
+	// headerTimeout bounds the reading of a request's header, and headerLimit its bytes. The operators'
+	// limits are smaller.
 	headerTimeout = 10 * time.Second
-	headerLimit   = 64 << 10
-	idleTimeout   = 2 * time.Minute
+	headerLimit   = 1 << 20
 )
 
 // Entry is one running entry daemon.
@@ -50,6 +49,7 @@
 	registry *registry.Registry
 	lease    *registry.Lease
 	gateway  *gateway.Gateway
+	idle     *socket.Idle
 	leaving  atomic.Bool
 	servers  []*http.Server
 	cancel   context.CancelFunc
@@ -73,6 +73,7 @@
 		Now: now, View: e.registry.View, Daemons: e.registry.Daemons, Heard: e.registry.Heard, Codec: platform.Codec(),
 		Record: e.journal.Record, Observe: e.observe, Zone: s.Zone, Policy: policy(s),
 	})
+	e.idle = socket.NewIdle(now, func() clock.Milli { return e.gateway.Limits().Idle })
 	front := &platform.Front{
 		Now: now, Serve: e.gateway.Serve, Limits: e.gateway.Limits, Leaving: e.leaving.Load,
 	}
@@ -84,6 +85,7 @@
 	go e.registry.Run(ctx)
 	go e.lease.Run(ctx)
 	go e.gateway.Run(ctx)
+	go e.idle.Run(ctx)
 
 	return e, nil
 }
@@ -131,8 +133,8 @@
 			return errors.Wrapf(err, "entry: cannot listen on %s", l.address)
 		}
 		server := &http.Server{
-			Handler: l.handler, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: headerLimit, IdleTimeout: idleTimeout,
-			ConnContext: socket.WithWay,
+			Handler: l.handler, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: headerLimit,
+			ConnContext: socket.WithWay, ConnState: e.idle.State,
 		}
 		e.servers = append(e.servers, server)
 		go func() { _ = server.Serve(listener) }()
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -95,16 +95,6 @@
 	g.desk.Keep(now, view)
 }
 
-// Limits returns what a caller may send, and false while no configuration is known.
-func (g *Gateway) Limits() (catalog.Limits, bool) {
-	view := g.ports.View()
-	if view == nil || view.Config == nil {
-		return catalog.Limits{}, false
-	}
-
-	return view.Config.Limits, true
-}
-
 // Serve answers a call. It returns an answer with neither reply nor refusal when the caller left.
 func (g *Gateway) Serve(ctx context.Context, call *Call) Answer {
 	view := g.ports.View()
