Add a soak of entry daemons under faults from outside

soak/ runs entry daemons as processes of their own among a stand-in of the store, stand-in upstreams (standin/registered) and callers, each link through a loopback proxy; a seed makes the plan, and sixteen checks judge what callers and upstreams saw. platform/ gets the other sides of the protocol: what callers send and read, what upstreams read and answer, what operators write.

Seed 12: a daemon that was told to stop right after its start ended by the signal. Cause: signals were heard only once the settings were read (some 10 ms); ruled out: a second signal, a stop that takes too long (the log shows neither). Seed 12, and two others: routes whose prefix lies below another's were judged wrongly when removed (the longer one answers); the harness uses prefixes of their own now.

--- a/cmd/jacinthferry/entry.go
+++ b/cmd/jacinthferry/entry.go
@@ -40,34 +40,51 @@
 			jsonOutput(),
 		},
 		Action: func(ctx context.Context, c *cli.Command) error {
+			// Signals count from the first moment: reading the settings takes a while.
+			told := newSignals(ctx)
+			defer told.release()
 			path := c.String("file")
 			s, err := settings.ReadEntry(path)
 			if err != nil || c.Bool("check") {
 				return err
 			}
 
-			return runEntry(ctx, path, s)
+			return runEntry(ctx, told, path, s)
 		},
 	}
 }
 
-func runEntry(ctx context.Context, path string, s settings.Entry) error {
+// signals are what an entry daemon is told.
+type signals struct {
+	stop   context.Context
+	hangup chan os.Signal
+	// release makes further signals to stop end the process.
+	release context.CancelFunc
+}
+
+func newSignals(ctx context.Context) *signals {
+	hangup := make(chan os.Signal, 1)
+	signal.Notify(hangup, syscall.SIGHUP)
+	stop, release := signal.NotifyContext(ctx, syscall.SIGINT, syscall.SIGTERM)
+
+	return &signals{stop: stop, hangup: hangup, release: release}
+}
+
+func runEntry(ctx context.Context, told *signals, path string, s settings.Entry) error {
 	defer logJSONToOutput()()
 	debug.SetGCPercent(s.Growth)
 	debug.SetMemoryLimit(int64(float64(s.Memory) * memoryPart * megabyte))
-	told, release := signal.NotifyContext(ctx, syscall.SIGINT, syscall.SIGTERM)
-	defer release()
 	e, err := entry.Start(context.WithoutCancel(ctx), s)
 	if err != nil {
 		return err
 	}
 	watching, stop := context.WithCancel(ctx)
 	defer stop()
-	go reload(watching, path, e)
+	go reload(watching, told.hangup, path, e)
 	klog.InfoS("serving", "name", s.Name, "zone", s.Zone, "front", s.Front, "store", s.Store)
-	<-told.Done()
+	<-told.stop.Done()
 	// From here on a second signal ends the process.
-	release()
+	told.release()
 	klog.InfoS("stopping", "name", s.Name, "grace", s.Grace)
 	e.Stop(context.WithoutCancel(ctx))
 	klog.InfoS("stopped", "name", s.Name)
@@ -78,12 +95,9 @@
 // rereadEvery is the time between two looks at the settings file, which may change without a signal.
 const rereadEvery = 5 * time.Second
 
-// reload reads the settings file again on SIGHUP and now and then. A file that cannot be used leaves
+// reload reads the settings file again on hangup and now and then. A file that cannot be used leaves
 // the settings as they are.
-func reload(ctx context.Context, path string, e *entry.Entry) {
-	hangup := make(chan os.Signal, 1)
-	signal.Notify(hangup, syscall.SIGHUP)
-	defer signal.Stop(hangup)
+func reload(ctx context.Context, hangup <-chan os.Signal, path string, e *entry.Entry) {
 	ticker := time.NewTicker(rereadEvery)
 	defer ticker.Stop()
 	for {
--- /dev/null
+++ b/soak/check/daemons.go
@@ -0,0 +1,163 @@
+package check
+
+import (
+	"net/http"
+	"slices"
+
+	"jacinthferry/core/catalog"
+	"jacinthferry/core/clock"
+)
+
+// configuration checks that every daemon follows a configuration in time and never goes back.
+func (j *judge) configuration() {
+	for i := range j.Asks {
+		a := &j.Asks[i]
+		if !j.calmWithin(a.Daemon, a.Sent, a.Ended) || a.status() == 0 {
+			continue
+		}
+		if !j.allowed(a) {
+			j.breach(a.Ended, "%s on %s at %s: status %d fits no configuration that may be in force",
+				a.ID, a.Route.Name, a.Daemon, a.status())
+		}
+	}
+}
+
+// allowed reports whether a configuration that may be in force explains the answer: one that was not
+// replaced for Apply when the request was sent.
+func (j *judge) allowed(a *Ask) bool {
+	for i := range j.Configs {
+		replaced := i+1 < len(j.Configs) && j.Configs[i+1].At+j.Bounds.Apply < a.Sent
+		if replaced || j.Configs[i].At > a.Ended {
+			continue
+		}
+		r := j.Configs[i].route(a.Route.Name)
+		if (r == nil) == (a.status() == http.StatusNotFound) && (r == nil || j.explains(a, r)) {
+			return true
+		}
+	}
+
+	return false
+}
+
+// explains reports whether what ran the request is what a route names.
+func (j *judge) explains(a *Ask, r *catalog.Route) bool {
+	services := append([]string{r.Service}, r.Shards...)
+	for _, s := range r.Split {
+		services = append(services, s.Service)
+	}
+	for _, run := range j.runs[a.ID] {
+		if run.Ran && !slices.Contains(services, run.Options.Service) {
+			return false
+		}
+	}
+
+	return true
+}
+
+const (
+	// stopAllowed is how many requests may be cut around planned stops.
+	stopAllowed = 3
+	// stopAfter is how long after the end of a process its requests still count.
+	stopAfter = clock.Second
+	// stopLate is the last part of a stop, in which what is sent may be cut.
+	stopLate = clock.Second
+)
+
+// stop checks that planned stops cut no requests, and that they end well.
+func (j *judge) stop() {
+	cut := 0
+	for i := range j.Stops {
+		s := &j.Stops[i]
+		if s.Exit != 0 {
+			j.breach(s.To, "%s ended with %d", s.Daemon, s.Exit)
+		}
+		for k := range j.Asks {
+			a := &j.Asks[k]
+			if a.Daemon != s.Daemon || a.Sent < s.From || a.Ended > s.To+stopAfter || a.Sent > s.To-stopLate ||
+				!j.calmWithin(a.Daemon, a.Sent, a.Ended) {
+				continue
+			}
+			if a.status() != 0 || a.Gone || a.Unconnected || a.Ended >= a.Sent+a.Left || len(j.runs[a.ID]) == 0 {
+				continue
+			}
+			if cut++; cut > stopAllowed {
+				j.breach(a.Ended, "%s was cut by the stop of %s", a.ID, s.Daemon)
+			}
+		}
+	}
+}
+
+const (
+	// listedSpan is how much longer than Contact a daemon that ended may still be named.
+	listedSpan    = 3 * clock.Second
+	listedAllowed = 3
+)
+
+// directory checks that callers are not sent to daemons that are gone for long.
+func (j *judge) directory() {
+	wrong := 0
+	for i := range j.Listings {
+		l := &j.Listings[i]
+		if !j.calm(l.Daemon, l.At) {
+			continue
+		}
+		for _, name := range l.Daemons {
+			for k := range j.Stops {
+				s := &j.Stops[k]
+				if s.Daemon != name || l.At < s.To+j.Bounds.Contact+listedSpan || (s.Back != 0 && s.Back < l.At) {
+					continue
+				}
+				if wrong++; wrong > listedAllowed {
+					j.breach(l.At, "%s names %s, gone since %.0f ms", l.Daemon, name, float64(s.To))
+				}
+			}
+		}
+	}
+}
+
+// ends checks that no process ended by itself.
+func (j *judge) ends() {
+	for _, e := range j.Ends {
+		j.breach(e.From, "%s ended by itself: %s", e.Daemon, e.What)
+	}
+}
+
+// Shares of the requests that are answered well.
+const (
+	recoveredLeast = 0.95
+	calmLeast      = 0.97
+	countLeast     = 20
+)
+
+// recovery checks that the system serves again once all faults are over.
+func (j *judge) recovery() {
+	good, all := j.share(func(a *Ask) bool { return a.Sent > j.Healed+j.Bounds.Recovery })
+	if all >= countLeast && float64(good) < recoveredLeast*float64(all) {
+		j.breach(j.Healed+j.Bounds.Recovery, "%d of %d requests served after the last fault", good, all)
+	}
+}
+
+// served checks that daemons which nothing disturbs serve what they are asked.
+func (j *judge) served() {
+	good, all := j.share(func(a *Ask) bool {
+		return j.calmWithin(a.Daemon, a.Sent, a.Ended) && !disturbed(j.Upsets, "", a.Sent-j.Bounds.Contact, a.Ended)
+	})
+	if all >= countLeast && float64(good) < calmLeast*float64(all) {
+		j.breach(0, "%d of %d requests served by undisturbed daemons", good, all)
+	}
+}
+
+func (j *judge) share(counts func(*Ask) bool) (good, all int) {
+	for i := range j.Asks {
+		a := &j.Asks[i]
+		if a.Gone || !counts(a) {
+			continue
+		}
+		all++
+		if status := a.status(); status == http.StatusOK || status == http.StatusNotFound {
+			good++
+		}
+	}
+
+	return good, all
+}
--- /dev/null
+++ b/soak/check/sends.go
@@ -0,0 +1,183 @@
+package check
+
+import (
+	"jacinthferry/core/catalog"
+	"jacinthferry/core/clock"
+	"jacinthferry/standin/registered"
+)
+
+// attemptsAllowed is how many requests may run at more upstreams than their route allows.
+const attemptsAllowed = 3
+
+// attempts checks that a request runs at no more upstreams of a service than its route allows.
+func (j *judge) attempts() {
+	over := 0
+	for id, runs := range j.runs {
+		a := j.asks[id]
+		if a == nil {
+			continue
+		}
+		at := make(map[string]map[string]bool)
+		for _, r := range runs {
+			// One that ended meanwhile does not count.
+			if !r.Ran || r.Dropped {
+				continue
+			}
+			if at[r.Options.Service] == nil {
+				at[r.Options.Service] = make(map[string]bool)
+			}
+			at[r.Options.Service][r.Options.ID] = true
+		}
+		for service, upstreams := range at {
+			if len(upstreams) <= a.Route.Attempts {
+				continue
+			}
+			if over++; over > attemptsAllowed {
+				j.breach(a.Sent, "%s ran at %d upstreams of %s, %d allowed", id, len(upstreams), service, a.Route.Attempts)
+			}
+		}
+	}
+}
+
+// windowStep is the time between the starts of two windows that are looked at.
+const windowStep = 500 * clock.Millisecond
+
+// budget checks that no more requests are sent more than once than all daemons together may.
+func (j *judge) budget() {
+	type sends struct{ first, extra []clock.Milli }
+	services := make(map[string]*sends)
+	seen := make(map[string]bool)
+	for i := range j.Runs {
+		r := &j.Runs[i]
+		s := services[r.Options.Service]
+		if s == nil {
+			s = &sends{}
+			services[r.Options.Service] = s
+		}
+		key := r.Options.Service + " " + r.ID
+		if seen[key] {
+			s.extra = append(s.extra, r.Arrived)
+		} else {
+			s.first = append(s.first, r.Arrived)
+		}
+		seen[key] = true
+	}
+	for name, s := range services {
+		for from := clock.Milli(0); from < j.End; from += windowStep {
+			to := from + j.Bounds.Window
+			extra := within(s.extra, from, to)
+			// Requests of the window before count where there were more.
+			first := max(within(s.first, from, to), within(s.first, from-j.Bounds.Window, from))
+			if allowed := j.Bounds.Ratio*float64(first) + j.Bounds.Slack; float64(extra) > allowed {
+				j.breach(from, "%s: %d extra sends, %.0f allowed", name, extra, allowed)
+
+				break
+			}
+		}
+	}
+}
+
+func within(list []clock.Milli, from, to clock.Milli) int {
+	n := 0
+	for _, at := range list {
+		if at >= from && at < to {
+			n++
+		}
+	}
+
+	return n
+}
+
+// drain checks that nothing is sent to upstreams that leave, nor to those of a zone that is taken out.
+func (j *judge) drain() {
+	for i := range j.Runs {
+		r := &j.Runs[i]
+		a := j.asks[r.ID]
+		if a == nil || r.Options.ID != r.Expected {
+			continue
+		}
+		for k := range j.Outs {
+			o := &j.Outs[k]
+			if o.late(r, j.Bounds) && j.calmWithin(a.Daemon, o.At, r.Arrived) {
+				j.breach(r.Arrived, "%s reached %s, out since %.0f ms", r.ID, r.Options.ID, float64(o.At))
+			}
+		}
+	}
+}
+
+// late reports whether a request reached an upstream later than it may after an Out.
+func (o *Out) late(r *registered.Run, b Bounds) bool {
+	if o.Upstream != "" {
+		return o.Upstream == r.Options.ID && r.Arrived > o.At+b.Drain
+	}
+
+	return o.Zone == r.Options.Zone && r.Arrived > o.At+b.Evacuate && (o.Until == 0 || r.Arrived < o.Until)
+}
+
+// trialBad is how many bad answers a version may give before the daemons must have found out.
+const trialBad = 50
+
+// trial checks that a bad version gets few requests, and that moves end as they should.
+func (j *judge) trial() {
+	for i := range j.Moves {
+		m := &j.Moves[i]
+		if m.Bad {
+			j.exposure(m)
+		}
+		if want := m.wanted(); m.Outcome != want && j.undisturbed(m.At, m.Deadline) {
+			j.breach(m.Deadline, "%s to %s ended as %q instead of %q", m.Service, m.Version, m.Outcome, want)
+		}
+	}
+}
+
+// exposure checks that a bad version gets few requests.
+func (j *judge) exposure(m *Move) {
+	var all, target, bad int
+	var found clock.Milli
+	for i := range j.Runs {
+		r := &j.Runs[i]
+		a := j.asks[r.ID]
+		if a == nil || r.Options.Service != m.Service || r.Arrived < m.At || r.Arrived > m.Deadline {
+			continue
+		}
+		all++
+		if r.Options.Version != m.Version {
+			continue
+		}
+		target++
+		if found > 0 && a.Sent > found+j.Bounds.Back && j.calmWithin(a.Daemon, m.At, r.Arrived) {
+			j.breach(r.Arrived, "%s reached the bad version %s of %s", r.ID, m.Version, m.Service)
+		}
+		if !r.Good {
+			bad++
+		}
+		if bad == trialBad && found == 0 {
+			found = r.Ended
+		}
+	}
+	if float64(target) > j.Bounds.Trial*float64(all)+float64(j.Bounds.TrialSlack) {
+		j.breach(m.At, "%s: %d of %d requests at the bad version", m.Service, target, all)
+	}
+}
+
+// wanted returns how a move should end.
+func (m *Move) wanted() catalog.Stage {
+	if m.Bad {
+		return catalog.Back
+	}
+
+	return catalog.Completed
+}
+
+// undisturbed reports whether nothing was wrong anywhere between two instants.
+func (j *judge) undisturbed(from, to clock.Milli) bool {
+	for _, list := range [][]Trouble{j.Troubles, j.Upsets} {
+		for i := range list {
+			if list[i].From <= to && from < list[i].To {
+				return false
+			}
+		}
+	}
+
+	return true
+}
--- /dev/null
+++ b/soak/main.go
@@ -0,0 +1,161 @@
+// Command soak runs entry daemons as processes of their own under faults that seeds pick, and checks
+// all the while what callers and upstreams see.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/urfave/cli/v3"
+	"k8s.io/klog/v2"
+
+	"jacinthferry/core/clock"
+	"jacinthferry/soak/check"
+	"jacinthferry/soak/world"
+)
+
+// ErrBreach is returned when a promise was not kept.
+var ErrBreach = errors.New("soak: promises were not kept")
+
+func main() {
+	root := &cli.Command{
+		Name: "soak", Usage: "run daemons under faults and check what callers and upstreams see",
+		Description: "Build the program first: go build -o target/ ./cmd/jacinthferry\n" +
+			"Example: go run ./soak --program target/jacinthferry --seeds 50 --jobs 3",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "program", Value: "target/jacinthferry", Usage: "the program's `FILE`"},
+			&cli.StringFlag{Name: "out", Usage: "`DIRECTORY` for settings and logs; a temporary one if empty"},
+			&cli.Uint64Flag{Name: "first", Value: 1, Usage: "first seed"},
+			&cli.IntFlag{Name: "seeds", Value: 1, Usage: "how many seeds"},
+			&cli.StringFlag{Name: "cases", Usage: "a `FILE` whose lines begin with seeds that are played too"},
+			&cli.IntFlag{Name: "jobs", Value: 1, Usage: "how many seeds run at once"},
+			&cli.IntFlag{Name: "daemons", Value: 4, Usage: "daemons of each seed"},
+			&cli.IntFlag{Name: "clients", Value: 16, Usage: "callers of each seed"},
+			&cli.FloatFlag{Name: "rate", Value: 90, Usage: "requests a second of all callers of a seed"},
+			&cli.StringSliceFlag{Name: "only", Usage: "the `KINDS` of steps; those that the seed picks if empty"},
+			&cli.DurationFlag{Name: "span", Value: 16 * time.Second, Usage: "for how long faults begin"},
+		},
+		Action: run,
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	if err := root.Run(ctx, os.Args); err != nil {
+		klog.ErrorS(err, "failed")
+		klog.Flush()
+		os.Exit(1) //nolint:gocritic // Nothing is left to stop.
+	}
+}
+
+func run(ctx context.Context, c *cli.Command) error {
+	out := c.String("out")
+	if out == "" {
+		var err error
+		if out, err = os.MkdirTemp("", "soak-"); err != nil {
+			return errors.Wrap(err, "soak: no directory")
+		}
+	}
+	kinds, err := kindsOf(c.StringSlice("only"))
+	if err != nil {
+		return err
+	}
+	list, err := seedsOf(c)
+	if err != nil {
+		return err
+	}
+	seeds := make(chan uint64)
+	var all sync.WaitGroup
+	var mu sync.Mutex
+	failed := 0
+	for range c.Int("jobs") {
+		all.Go(func() {
+			for seed := range seeds {
+				text, ok := play(ctx, c, kinds, seed, filepath.Join(out, fmt.Sprint("seed-", seed)))
+				mu.Lock()
+				_, _ = fmt.Fprint(c.Root().Writer, text)
+				if !ok {
+					failed++
+				}
+				mu.Unlock()
+			}
+		})
+	}
+	for _, seed := range list {
+		if ctx.Err() == nil {
+			seeds <- seed
+		}
+	}
+	close(seeds)
+	all.Wait()
+	if failed > 0 {
+		return errors.Wrapf(ErrBreach, "%d seeds, see %s", failed, out)
+	}
+
+	return nil
+}
+
+// seedsOf returns the seeds to play.
+func seedsOf(c *cli.Command) ([]uint64, error) {
+	var list []uint64
+	if path := c.String("cases"); path != "" {
+		text, err := os.ReadFile(path)
+		if err != nil {
+			return nil, errors.Wrap(err, "soak: no cases")
+		}
+		for line := range strings.Lines(string(text)) {
+			word, _, _ := strings.Cut(line, " ")
+			seed, err := strconv.ParseUint(word, 10, 64)
+			if err != nil {
+				return nil, errors.Wrapf(err, "soak: %s", path)
+			}
+			list = append(list, seed)
+		}
+	}
+	for i := range c.Int("seeds") {
+		list = append(list, c.Uint64("first")+uint64(i))
+	}
+
+	return list, nil
+}
+
+// kindsOf returns the kinds of steps that words name.
+func kindsOf(words []string) ([]world.Kind, error) {
+	var kinds []world.Kind
+	for _, word := range words {
+		if !slices.Contains(world.Kinds(), world.Kind(word)) {
+			return nil, errors.Errorf("soak: no kind of step %q, want some of %v", word, world.Kinds())
+		}
+		kinds = append(kinds, world.Kind(word))
+	}
+
+	return kinds, nil
+}
+
+// play runs one seed and returns its lines of the report.
+func play(ctx context.Context, c *cli.Command, kinds []world.Kind, seed uint64, directory string) (string, bool) {
+	span := clock.From(c.Duration("span"))
+	plan := world.NewPlan(seed, span, kinds)
+	l, err := world.Run(ctx, world.Options{
+		Binary: c.String("program"), Directory: directory, Seed: seed, Span: span, Daemons: c.Int("daemons"),
+		Clients: c.Int("clients"), Rate: c.Float("rate"),
+	}, plan)
+	if err != nil {
+		return fmt.Sprintf("seed %d: %v\n", seed, err), false
+	}
+	breaches := check.Judge(l)
+	text := check.Summary(seed, l)
+	for _, b := range breaches {
+		text += "  " + b.String() + "\n"
+	}
+
+	return text, len(breaches) == 0
+}
--- /dev/null
+++ b/soak/world/operator.go
@@ -0,0 +1,126 @@
+package world
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+
+	"jacinthferry/core/catalog"
+	"jacinthferry/core/clock"
+	"jacinthferry/io/store"
+	"jacinthferry/platform"
+	"jacinthferry/soak/check"
+)
+
+// host is the one that all routes belong to.
+const host = "soak.example"
+
+// operator keeps the configuration.
+type operator struct {
+	world   *World
+	mu      sync.Mutex
+	version int64
+	shards  []string
+	// extra are the numbers of the routes that were added and not removed, and added how many were.
+	extra []int
+	added int
+	// timeout is that of the single routes.
+	timeout clock.Milli
+}
+
+func newOperator(w *World) *operator {
+	return &operator{world: w, shards: shardNames("s"), timeout: 1500 * clock.Millisecond}
+}
+
+// current returns the routes of the newest configuration.
+func (o *operator) current() []catalog.Route {
+	single := catalog.Route{
+		Host: host, Service: ordersService, Timeout: o.timeout, Objective: 100 * clock.Millisecond, Attempts: 2,
+		Idempotent: true, Priority: 1,
+	}
+	look, write := single, single
+	look.Name, look.Prefix = "look", "/look/"
+	write.Name, write.Prefix, write.Idempotent = "write", "/write/", false
+	routes := []catalog.Route{
+		{
+			Name: "search", Prefix: "/search/", Host: host, Shards: slices.Clone(o.shards), Idempotent: true,
+			Timeout: 800 * clock.Millisecond, Objective: 120 * clock.Millisecond, Attempts: 2, Top: 5, Least: 0.6,
+		},
+		look, write,
+	}
+	for _, n := range o.extra {
+		extra := look
+		extra.Name, extra.Prefix = extraRoute(n)
+		routes = append(routes, extra)
+	}
+
+	return routes
+}
+
+func extraRoute(n int) (name, prefix string) {
+	return fmt.Sprintf("extra-%d", n), fmt.Sprintf("/extra-%d/", n)
+}
+
+// change changes the configuration and writes it.
+func (o *operator) change(ctx context.Context, change func()) error {
+	o.mu.Lock()
+	change()
+	o.mu.Unlock()
+
+	return o.write(ctx)
+}
+
+// alter adds or removes a route, or changes a time limit.
+func (o *operator) alter(n int) {
+	switch {
+	case n%3 == 0 && len(o.extra) > 0:
+		o.extra = o.extra[1:]
+	case n%3 == 1:
+		o.timeout = clock.Milli(1000 + 100*(n%10))
+	default:
+		o.added++
+		o.extra = append(slices.Clone(o.extra), o.added)
+	}
+}
+
+// write writes the configuration. It is in the log from the store's answer on.
+func (o *operator) write(ctx context.Context) error {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.version += 3
+	routes := o.current()
+	services := []catalog.Service{{Name: ordersService, Connections: 50}}
+	for _, name := range o.shards {
+		services = append(services, catalog.Service{Name: name, Connections: 50})
+	}
+	limits := catalog.Limits{Header: 16 << 10, Body: 64 << 10, Idle: 10 * clock.Second}
+	text, err := platform.EncodeConfig(o.version, routes, services, limits)
+	if err != nil {
+		return err //nolint:wrapcheck // The platform says what is wrong.
+	}
+	w := o.world
+	at := w.now()
+	if _, err := w.store.Put(ctx, platform.ConfigKey, text, store.Any, ""); err != nil {
+		return err //nolint:wrapcheck // It is a refusal of the store.
+	}
+	w.note(func(l *check.Log) { l.Configs = append(l.Configs, check.Config{At: at, Routes: routes}) })
+
+	return nil
+}
+
+// asked returns a route for a caller: one in force, or one that was there once.
+func (o *operator) asked(n int) catalog.Route {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	routes := o.current()
+	if n%20 == 0 && o.added > 0 {
+		name, prefix := extraRoute(1 + n/20%o.added)
+
+		return catalog.Route{
+			Name: name, Prefix: prefix, Host: host, Service: ordersService, Attempts: 2, Idempotent: true, Timeout: o.timeout,
+		}
+	}
+
+	return routes[n%3]
+}
--- /dev/null
+++ b/soak/world/plan.go
@@ -0,0 +1,142 @@
+package world
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+
+	"jacinthferry/core/clock"
+)
+
+// Kind is a sort of step.
+type Kind string
+
+// The kinds of steps. Planned ones are what operators do; the others are faults.
+const (
+	// Steps at a daemon's process.
+	Kill  Kind = "kill"
+	Pause Kind = "pause"
+	Term  Kind = "term"
+	Away  Kind = "away"
+	Hup   Kind = "hup"
+	// Steps at the link between a daemon and the store.
+	StoreCut     Kind = "store-cut"
+	StoreOneWay  Kind = "store-one-way"
+	StoreRefuse  Kind = "store-refuse"
+	StoreSilence Kind = "store-silence"
+	StoreReset   Kind = "store-reset"
+	// Steps at the store.
+	StoreDown Kind = "store-down"
+	StoreHang Kind = "store-hang"
+	StoreSlow Kind = "store-slow"
+	StoreLost Kind = "store-lost"
+	// Steps at the link between callers and a daemon.
+	FrontDelay   Kind = "front-delay"
+	FrontReset   Kind = "front-reset"
+	FrontSilence Kind = "front-silence"
+	FrontOneWay  Kind = "front-one-way"
+	// Steps at an upstream and the links to it.
+	Crash       Kind = "crash"
+	Reborn      Kind = "reborn"
+	Reuse       Kind = "reuse"
+	Freeze      Kind = "freeze"
+	Slow        Kind = "slow"
+	Fail        Kind = "fail"
+	Lose        Kind = "lose"
+	Garble      Kind = "garble"
+	LinkReset   Kind = "link-reset"
+	LinkSilence Kind = "link-silence"
+	LinkDelay   Kind = "link-delay"
+	// Steps of operators.
+	Replace  Kind = "replace"
+	Config   Kind = "config"
+	Reshard  Kind = "reshard"
+	ZoneOut  Kind = "zone-out"
+	MoveGood Kind = "move-good"
+	MoveBad  Kind = "move-bad"
+)
+
+var (
+	planned = []Kind{Term, Term, Away, Hup, Replace, Replace, Config, Config, Reshard, ZoneOut, MoveGood, MoveBad}
+	faults  = []Kind{
+		Kill, Pause, StoreCut, StoreOneWay, StoreRefuse, StoreSilence, StoreReset, StoreDown, StoreHang, StoreSlow,
+		StoreLost, FrontDelay, FrontReset, FrontSilence, FrontOneWay, Crash, Reborn, Reuse, Freeze, Slow, Fail, Lose,
+		Garble, LinkReset, LinkSilence, LinkDelay,
+	}
+)
+
+// Step is one thing that happens.
+type Step struct {
+	At   clock.Milli
+	Kind Kind
+	// Target picks among what the kind fits, and Span is how long it lasts.
+	Target int
+	Span   clock.Milli
+}
+
+const (
+	// stepsLeast and stepsMost bound the steps of a plan, series not counted.
+	stepsLeast = 4
+	stepsMost  = 10
+	// seriesPart is the part of steps that come as a series of seriesCount.
+	seriesPart  = 0.3
+	seriesCount = 3
+	// spanLeast and spanMost bound how long a step lasts.
+	spanLeast = 300 * clock.Millisecond
+	spanMost  = 5 * clock.Second
+	// targets is more than there is of anything.
+	targets = 1000
+)
+
+// Kinds returns all kinds of steps.
+func Kinds() []Kind { return slices.Concat(planned, faults) }
+
+// NewPlan returns the steps of a seed within a span, by time. They are of the given kinds; where none
+// are given, a seed has planned work only, faults only, or both.
+func NewPlan(seed uint64, span clock.Milli, kinds []Kind) []Step {
+	random := rand.New(rand.NewPCG(seed, seed))
+	if len(kinds) == 0 {
+		kinds = [][]Kind{planned, faults, Kinds(), Kinds()}[seed%4]
+	}
+	var steps []Step
+	for range stepsLeast + random.IntN(stepsMost-stepsLeast+1) {
+		s := Step{
+			At: clock.Milli(random.Float64()) * span, Kind: kinds[random.IntN(len(kinds))], Target: random.IntN(targets),
+			Span: spanLeast + clock.Milli(random.Float64())*(spanMost-spanLeast),
+		}
+		count := 1
+		if random.Float64() < seriesPart {
+			count = seriesCount
+		}
+		gap := 100 + clock.Milli(random.Float64())*clock.Second
+		for i := range count {
+			s.At += clock.Milli(min(i, 1)) * gap
+			s.Target += i
+			steps = append(steps, s)
+		}
+	}
+	slices.SortStableFunc(steps, func(a, b Step) int { return cmp.Compare(a.At, b.At) })
+
+	return onlyFirst(steps, MoveGood, MoveBad, Reshard)
+}
+
+// onlyFirst keeps the first step of kinds that exclude each other, at the beginning: they take long.
+func onlyFirst(steps []Step, kinds ...Kind) []Step {
+	var out []Step
+	found := false
+	for _, s := range steps {
+		if slices.Contains(kinds, s.Kind) {
+			if found {
+				continue
+			}
+			found = true
+			s.At = 0
+			out = slices.Insert(out, 0, s)
+
+			continue
+		}
+		out = append(out, s)
+	}
+
+	return out
+}
--- /dev/null
+++ b/soak/world/plan_test.go
@@ -0,0 +1,50 @@
+package world_test
+
+import (
+	"slices"
+
+	"jacinthferry/core/clock"
+	"jacinthferry/soak/world"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+var _ = Describe("a plan", func() {
+	const span = 16 * clock.Second
+
+	It("is the same for the same seed", func() {
+		Expect(world.NewPlan(7, span, nil)).To(Equal(world.NewPlan(7, span, nil)))
+		Expect(world.NewPlan(7, span, nil)).NotTo(Equal(world.NewPlan(11, span, nil)))
+	})
+
+	It("has every kind of step in some seed", func() {
+		missing := world.Kinds()
+		for seed := range uint64(60) {
+			for _, s := range world.NewPlan(seed, span, nil) {
+				missing = slices.DeleteFunc(missing, func(k world.Kind) bool { return k == s.Kind })
+			}
+		}
+		Expect(missing).To(BeEmpty())
+	})
+
+	It("is ordered by time and repeats steps in series", func() {
+		series := 0
+		for seed := range uint64(20) {
+			plan := world.NewPlan(seed, span, nil)
+			Expect(slices.IsSortedFunc(plan, func(a, b world.Step) int { return int(a.At - b.At) })).To(BeTrue())
+			for i := 1; i < len(plan); i++ {
+				if plan[i].Kind == plan[i-1].Kind && plan[i].Target == plan[i-1].Target+1 {
+					series++
+				}
+			}
+		}
+		Expect(series).To(BeNumerically(">", 5))
+	})
+
+	It("has only the kinds that are asked for", func() {
+		for _, s := range world.NewPlan(3, span, []world.Kind{world.Kill}) {
+			Expect(s.Kind).To(Equal(world.Kill))
+		}
+	})
+})
