Bound extra sends by a sliding window, so that calm times pay for bursts of failures

Repeats were bound by a token bucket of a daemon's part of the slack (7 tokens), refilled by 0.17 a request; what calm seconds left unused was lost, although the bound counts over ten seconds. Change: budget.Window counts ordinary and extra sends of the last ten seconds; 0.8 of the bound is used (0.85 before), as a window may begin where fewer requests came. Changed settings keep the counts.

--- a/core/gather/desk.go
+++ b/core/gather/desk.go
@@ -41,9 +41,9 @@
 	marginLeast = 4 * clock.Millisecond
 	// extraUse is the part of the extra sends that this daemon allows itself: the rest is for sends
 	// that crossed the start of a window.
-	extraUse = 0.85
-	// firstPart is the part of its slack that a daemon may use at once after its start. Others may
-	// have started with it, and it knows nothing of what it sent before.
+	extraUse = 0.8
+	// firstPart is the part of its slack that a daemon may use in the first span over which sends are
+	// counted. Others may have started with it, and it knows nothing of what it sent before.
 	firstPart = 0.25
 )
 
@@ -53,10 +53,12 @@
 	fleet     *balance.Fleet
 	daemons   func() int
 	uniform   func() float64
-	budgets   map[string]*budget.Bucket
+	budgets   map[string]*budget.Window
 	latencies map[string]*latency.Window
 	judge     *rollout.Judge
 	actions   []Action
+	// born is when the first request came, or 0.
+	born clock.Milli
 }
 
 // New returns a desk. Daemons returns how many daemons share the extra sends, and uniform a random
@@ -64,24 +66,21 @@
 func New(policy Policy, fleet *balance.Fleet, daemons func() int, uniform func() float64) *Desk {
 	return &Desk{
 		policy: policy, fleet: fleet, daemons: daemons, uniform: uniform,
-		budgets: make(map[string]*budget.Bucket), latencies: make(map[string]*latency.Window),
+		budgets: make(map[string]*budget.Window), latencies: make(map[string]*latency.Window),
 		judge: rollout.NewJudge(),
 	}
 }
 
-// SetPolicy changes the policy. Budgets start anew under it.
-func (d *Desk) SetPolicy(p Policy) {
-	if p == d.policy {
-		return
-	}
-	d.policy = p
-	clear(d.budgets)
-}
+// SetPolicy changes the policy. What was sent before counts under it.
+func (d *Desk) SetPolicy(p Policy) { d.policy = p }
 
 // Begin starts a request on a route and returns its first actions. They are valid until the next
 // call to the desk or one of its queries.
 func (d *Desk) Begin(now clock.Milli, view *catalog.View, route *catalog.Route, request Request) (*Query, []Action) {
 	d.actions = d.actions[:0]
+	if d.born == 0 {
+		d.born = now
+	}
 	q := &Query{desk: d, view: view, route: route, request: request, latency: d.latency(route.Name)}
 	q.patience = q.hedgeAfter(now)
 	services := route.Shards
@@ -95,7 +94,7 @@
 		q.shards[i].service = view.Config.Services[name]
 		q.shards[i].service.Name = name
 		q.shards[i].trial = d.tries(view, name)
-		d.budget(now, name).Earn(1)
+		d.budget(now, name).Earn(now)
 	}
 	if !q.refuseHopeless(now) {
 		for i := range q.shards {
@@ -136,19 +135,21 @@
 func (d *Desk) Bad(service string, move catalog.Move) bool { return d.judge.Bad(service, move) }
 
 // budget returns this daemon's part of the extra sends to a service.
-func (d *Desk) budget(now clock.Milli, service string) *budget.Bucket {
-	burst := max(1, extraUse*d.policy.Slack/float64(max(1, d.daemons())))
-	b := d.budgets[service]
-	if b != nil {
-		b.Limit(burst)
-
-		return b
+func (d *Desk) budget(now clock.Milli, service string) *budget.Window {
+	quota := budget.Quota{
+		Ratio: extraUse * d.policy.Extra, Slack: max(1, extraUse*d.policy.Slack/float64(max(1, d.daemons()))),
 	}
-	b = budget.New(now, budget.Terms{Ratio: extraUse * d.policy.Extra, Burst: burst})
-	b.Earn(int(firstPart * burst / (extraUse * d.policy.Extra)))
-	d.budgets[service] = b
+	if now < d.born+budget.WindowSpan {
+		quota.Slack *= firstPart
+	}
+	w := d.budgets[service]
+	if w == nil {
+		w = budget.NewWindow(now, quota)
+		d.budgets[service] = w
+	}
+	w.Limit(quota)
 
-	return b
+	return w
 }
 
 func (d *Desk) latency(route string) *latency.Window {
