--- a/soak/world/callers.go
+++ b/soak/world/callers.go
@@ -20,7 +20,7 @@
 
 const (
 	// goneEvery is how many requests a caller sends for one that it gives up early.
-	goneEvery = 40
+	goneEvery = 15
 	// goneAfter is how long it waits for that one.
 	goneAfter = 6 * clock.Millisecond
 	// resolveTimeout bounds a question to a directory, and connectTimeout the opening of a connection.
--- a/soak/world/steps.go
+++ b/soak/world/steps.go
@@ -66,6 +66,7 @@
 	from := w.now()
 	switch s.Kind {
 	case Hup:
+		w.sleep(ctx, d.began+bootSpan-from)
 		d.settings.Keep = 500*clock.Millisecond + clock.Milli(s.Target)
 		if err := d.write(); err != nil {
 			return err
--- a/soak/world/upstreams.go
+++ b/soak/world/upstreams.go
@@ -198,6 +198,9 @@
 	return err //nolint:wrapcheck // It is a refusal of the store.
 }
 
+// badShares are the shares of requests that bad versions fail.
+var badShares = []float64{0.25, 0.6, 1}
+
 // moveSpan is how long a version move may take.
 const moveSpan = 22 * clock.Second
 
@@ -212,7 +215,7 @@
 			return err
 		}
 		if s.Kind == MoveBad {
-			p.current().SetFaults(registered.Faults{Fail: 0.6})
+			p.current().SetFaults(registered.Faults{Fail: badShares[s.Target%len(badShares)]})
 		}
 		next = append(next, p)
 	}
