Merge answers in the availability zone of their upstreams

Each shard has replicas in two of three zones, so a third of the legs leaves the zone, each with its own answer. Change: a daemon hands legs to another zone over to a daemon there (io/relay), which sends them and returns one merged answer; core/gather groups legs and takes merged answers. The daemon that was asked goes on deciding and counting. Traced: 374 legs refused in six seconds by daemons that had just started and knew no upstreams, each of which shut its upstream for 100 ms; and upstreams suspected while a silent link held their legs. Each leg names address and process now, links fail 60 ms after an answer is due, and no upstream is blamed for them.

--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -154,10 +154,10 @@
 }
 
 // Answered says that a request sent at an instant was answered well, with the load that the
-// upstream reported, if any.
-func (f *Fleet) Answered(now, sent clock.Milli, u *catalog.Upstream, load *Load) {
+// upstream reported, if any. Held is for how long the answer was kept on its way.
+func (f *Fleet) Answered(now, sent, held clock.Milli, u *catalog.Upstream, load *Load) {
 	s := f.ended(now, sent, u)
-	s.learn(now, now-sent)
+	s.learn(now, now-sent-held)
 	s.failures -= gain * s.failures
 	if load != nil {
 		s.load, s.loadAt = *load, now
--- a/core/balance/balance_test.go
+++ b/core/balance/balance_test.go
@@ -29,7 +29,7 @@
 // ask sends a request and has it answered after a span.
 func ask(f *balance.Fleet, now clock.Milli, u *catalog.Upstream, span clock.Milli) {
 	f.Sent(now, service, u)
-	f.Answered(now+span, now, u, nil)
+	f.Answered(now+span, now, 0, u, nil)
 }
 
 var _ = Describe("A fleet", func() {
@@ -55,7 +55,7 @@
 		Expect(f.Choose(start+30, service, both, none)).To(Equal(near))
 		Expect(f.Suspect(start+100, near)).To(BeTrue())
 		Expect(f.Choose(start+100, service, both, none)).To(Equal(far))
-		f.Answered(start+101, start+20, near, nil)
+		f.Answered(start+101, start+20, 0, near, nil)
 		Expect(f.Suspect(start+101, near)).To(BeFalse())
 	})
 
@@ -122,7 +122,7 @@
 			for now := start; now < start+clock.Second; now++ {
 				if f.Choose(now, cold, []*catalog.Upstream{young}, none) != nil {
 					f.Sent(now, cold, young)
-					f.Answered(now, now, young, nil)
+					f.Answered(now, now, 0, young, nil)
 					total++
 				}
 			}
--- a/core/catalog/view.go
+++ b/core/catalog/view.go
@@ -45,7 +45,8 @@
 	// Config is nil until a configuration is known.
 	Config *Config
 	usable map[string][]*Upstream
-	known  map[Key]bool
+	// known holds the upstreams that are registered; nil stands for one that is not usable.
+	known map[Key]*Upstream
 	// moves are the services that move to another version, and trial the upstreams of that version
 	// while only a share of the requests goes there.
 	moves map[string]Move
@@ -54,10 +55,11 @@
 
 // NewView returns a view. Upstreams that drain and those in a zone of out are not offered.
 func NewView(config *Config, upstreams []*Upstream, out map[string]bool) *View {
-	v := &View{Config: config, usable: make(map[string][]*Upstream), known: make(map[Key]bool, len(upstreams))}
+	v := &View{Config: config, usable: make(map[string][]*Upstream), known: make(map[Key]*Upstream, len(upstreams))}
 	for _, u := range upstreams {
-		v.known[u.Key()] = true
+		v.known[u.Key()] = nil
 		if !u.Draining && !out[u.Zone] {
+			v.known[u.Key()] = u
 			v.usable[u.Service] = append(v.usable[u.Service], u)
 		}
 	}
@@ -73,7 +75,14 @@
 func (v *View) Usable(service string) []*Upstream { return v.usable[service] }
 
 // Has reports whether an upstream is registered.
-func (v *View) Has(k Key) bool { return v.known[k] }
+func (v *View) Has(k Key) bool {
+	_, known := v.known[k]
+
+	return known
+}
+
+// Find returns the usable upstream with a key, or nil.
+func (v *View) Find(k Key) *Upstream { return v.known[k] }
 
 // WithMoves returns the view while services move to other versions.
 func (v *View) WithMoves(moves map[string]Move) *View {
--- a/core/gather/desk.go
+++ b/core/gather/desk.go
@@ -235,4 +235,6 @@
 	Sent bool
 	// Load is what the upstream reported, or nil.
 	Load *balance.Load
+	// Held is for how long another daemon kept the answer.
+	Held clock.Milli
 }
--- a/core/gather/query.go
+++ b/core/gather/query.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 
+	"jacinthferry/core/balance"
 	"jacinthferry/core/catalog"
 	"jacinthferry/core/clock"
 	"jacinthferry/core/latency"
@@ -77,9 +78,20 @@
 // Answered takes the result of a leg.
 func (q *Query) Answered(now clock.Milli, number int, result Result) []Action {
 	q.desk.actions = q.desk.actions[:0]
+	if q.take(now, number, result, false) {
+		q.hedge(now)
+		q.settle(now)
+	}
+
+	return q.desk.actions
+}
+
+// take takes the result of a leg and reports whether that changed anything. An answer that is merged
+// with others replaces an earlier one, as they cannot be had without it.
+func (q *Query) take(now clock.Milli, number int, result Result, merged bool) bool {
 	l := &q.legs[number]
 	if !l.open {
-		return nil
+		return false
 	}
 	l.open = false
 	s := &q.shards[l.shard]
@@ -87,20 +99,24 @@
 	l.ran = result.Run != reason.No
 	l.unsent = !result.Sent
 	q.report(now, l, result)
-	if q.done || s.covered {
-		return nil
-	}
-	if result.Good {
+	switch {
+	case q.done:
+		return false
+	case s.covered:
+		if result.Good && merged {
+			s.answer = number
+		}
+
+		return false
+	case result.Good:
 		s.covered, s.answer = true, number
 		q.covered++
 		q.waiting--
-	} else {
+	default:
 		q.failed(now, l, number, result)
 	}
-	q.hedge(now)
-	q.settle(now)
 
-	return q.desk.actions
+	return true
 }
 
 // Due goes on at an instant that Next named.
@@ -156,21 +172,28 @@
 // report tells the fleet and the judge of version moves how a leg went.
 func (q *Query) report(now clock.Milli, l *leg, result Result) {
 	q.testify(now, l, result)
-	fleet := q.desk.fleet
+	Report(q.desk.fleet, now, l.at, q.legDeadline(), l.upstream, result)
+	if result.Good {
+		q.latency.Add(now, now-l.at-result.Held)
+	}
+}
+
+// Report tells a fleet how a send ended that was made at an instant and had a deadline.
+func Report(fleet *balance.Fleet, now, sent, deadline clock.Milli, u *catalog.Upstream, result Result) {
 	switch {
 	case result.Good:
-		fleet.Answered(now, l.at, l.upstream, result.Load)
-		q.latency.Add(now, now-l.at)
-	case result.Reason == reason.Cancelled:
-		fleet.Dropped(now, l.at, l.upstream)
-	case result.Reason == reason.Overload || (result.Sent && now >= q.legDeadline()):
-		fleet.Full(now, l.at, l.upstream, result.Load)
+		fleet.Answered(now, sent, result.Held, u, result.Load)
+	case result.Reason == reason.Cancelled || result.Reason == reason.Peer:
+		// It is not the upstream's fault.
+		fleet.Dropped(now, sent, u)
+	case result.Reason == reason.Overload || (result.Sent && now >= deadline):
+		fleet.Full(now, sent, u, result.Load)
 	case result.Reason == reason.Incarnation:
-		fleet.Replaced(now, l.at, l.upstream)
+		fleet.Replaced(now, sent, u)
 	case !result.Sent:
-		fleet.Unreachable(now, l.at, l.upstream)
+		fleet.Unreachable(now, sent, u)
 	default:
-		fleet.Failed(now, l.at, l.upstream)
+		fleet.Failed(now, sent, u)
 	}
 }
 
@@ -181,7 +204,8 @@
 		return
 	}
 	q.desk.judge.Add(move, rollout.Answer{
-		Service: l.upstream.Service, Route: q.route.Name, Version: l.upstream.Version, Good: result.Good, Latency: now - l.at,
+		Service: l.upstream.Service, Route: q.route.Name, Version: l.upstream.Version, Good: result.Good,
+		Latency: now - l.at - result.Held,
 	})
 }
 
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -17,6 +17,7 @@
 	"jacinthferry/io/gateway"
 	"jacinthferry/io/journal"
 	"jacinthferry/io/registry"
+	"jacinthferry/io/relay"
 	"jacinthferry/io/settings"
 	"jacinthferry/io/socket"
 	"jacinthferry/io/timer"
@@ -30,6 +31,9 @@
 	// there may stay unacknowledged.
 	storeDial = 500 * clock.Millisecond
 	storeAck  = clock.Second
+	// relayDial and relayAck are the same for links to other daemons.
+	relayDial = 500 * clock.Millisecond
+	relayAck  = clock.Second
 	// reserve is the time kept back from a caller's deadline for the answer's way.
 	reserve = 5 * clock.Millisecond
 	// The end of the grace: drainTime before it no more requests are taken and those that run are
@@ -45,6 +49,7 @@
 // Entry is one running entry daemon.
 type Entry struct {
 	settings atomic.Pointer[settings.Entry]
+	now      func() clock.Milli
 	journal  *journal.Journal
 	registry *registry.Registry
 	lease    *registry.Lease
@@ -59,25 +64,29 @@
 func Start(ctx context.Context, s settings.Entry) (*Entry, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	now := timer.New()
-	e := &Entry{cancel: cancel, journal: journal.New(s.Name, journalSize, now)}
+	e := &Entry{cancel: cancel, now: now, journal: journal.New(s.Name, journalSize, now)}
 	e.settings.Store(&s)
 	store := &http.Client{Transport: &http.Transport{DialContext: socket.Dialer(storeDial, storeAck).DialContext}}
 	ports := registry.Ports{
 		Now: now, Store: platform.NewStore(s.Store, store), Decode: platform.Decode, Record: e.journal.Record,
 		Bad: e.bad, Report: platform.EncodeReport,
-		Self: registry.Member{Name: s.Name, Front: s.Front, Zone: s.Zone, Cores: s.Cores * s.Share},
+		Self: registry.Member{Name: s.Name, Front: s.Front, Zone: s.Zone, Relay: s.Relay, Cores: s.Cores * s.Share},
 	}
 	e.registry = registry.New(ports)
 	e.lease = registry.NewLease(ports, e.registry.Settled)
+	links := relay.NewLinks(ctx, now, &http.Client{Transport: &http.Transport{
+		DialContext: socket.Dialer(relayDial, relayAck).DialContext,
+	}}, s.Name, e.relays)
 	e.gateway = gateway.New(gateway.Ports{
-		Now: now, View: e.registry.View, Daemons: e.registry.Daemons, Heard: e.registry.Heard, Codec: platform.Codec(),
+		Relay: links.Send,
+		Now:   now, View: e.registry.View, Daemons: e.registry.Daemons, Heard: e.registry.Heard, Codec: platform.Codec(),
 		Record: e.journal.Record, Observe: e.observe, Zone: s.Zone, Policy: policy(s),
 	})
 	e.idle = socket.NewIdle(now, func() clock.Milli { return e.gateway.Limits().Idle })
 	front := &platform.Front{
 		Now: now, Serve: e.gateway.Serve, Limits: e.gateway.Limits, Leaving: e.leaving.Load,
 	}
-	if err := e.listen(front); err != nil {
+	if err := e.listen(ctx, front); err != nil {
 		e.Close()
 
 		return nil, err
@@ -107,13 +116,14 @@
 	kept := s
 	kept.Name, kept.Zone, kept.Store = old.Name, old.Zone, old.Store
 	kept.Front, kept.Ready, kept.Directory, kept.Metrics = old.Front, old.Ready, old.Directory, old.Metrics
+	kept.Relay = old.Relay
 	e.settings.Store(&kept)
 	e.gateway.SetPolicy(policy(kept))
 	klog.InfoS("reloaded", "name", old.Name, "needs restart", kept != s)
 }
 
-// listen opens the listeners.
-func (e *Entry) listen(front http.Handler) error {
+// listen opens the listeners. What they serve ends with ctx.
+func (e *Entry) listen(ctx context.Context, front http.Handler) error {
 	s := e.settings.Load()
 	listeners := []struct {
 		address string
@@ -123,6 +133,7 @@
 		{s.Ready, platform.Ready(e.Ready)},
 		{s.Directory, platform.Directory(e.addresses)},
 		{s.Metrics, http.HandlerFunc(e.metrics)},
+		{s.Relay, &relay.Server{Now: e.now, Errands: e.gateway.Errands}},
 	}
 	for _, l := range listeners {
 		if l.address == "" {
@@ -135,6 +146,7 @@
 		server := &http.Server{
 			Handler: l.handler, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: headerLimit,
 			ConnContext: socket.WithWay, ConnState: e.idle.State,
+			BaseContext: func(net.Listener) context.Context { return ctx },
 		}
 		e.servers = append(e.servers, server)
 		go func() { _ = server.Serve(listener) }()
@@ -150,6 +162,22 @@
 	return !e.leaving.Load() && !e.registry.Standby() && view != nil && view.Config != nil
 }
 
+// relays returns the daemons of an availability zone that send legs for others.
+func (e *Entry) relays(zone string) []string {
+	state := e.registry.State()
+	if state == nil {
+		return nil
+	}
+	var list []string
+	for _, m := range state.Members {
+		if m.Zone == zone && m.Relay != "" {
+			list = append(list, m.Relay)
+		}
+	}
+
+	return list
+}
+
 // addressLimit is how many addresses a caller takes at most.
 const addressLimit = 64
 
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -28,6 +28,10 @@
 	Record func(event.Event)
 	// Observe takes how long a request on a route took, and whether it was answered.
 	Observe func(route string, span clock.Milli, answered bool)
+	// Relay sends a group of legs by a daemon of its zone, or reports false. What comes back is
+	// delivered in the order in which it comes, and every leg has a result once. Cancel gives up on the
+	// legs that are still open. Relay may be nil.
+	Relay func(call *Call, group *gather.Group, deliver func(Delivery)) (cancel func(), ok bool)
 	// Zone is the availability zone of this daemon.
 	Zone   string
 	Policy gather.Policy
@@ -108,7 +112,7 @@
 	if call.Left <= 0 {
 		call.Left = route.Timeout
 	}
-	p := &pending{gateway: g, call: call, route: route, config: view.Config, done: make(chan struct{})}
+	p := &pending{errand: &errand{gateway: g, call: call}, route: route, config: view.Config, done: make(chan struct{})}
 	p.start(view)
 	select {
 	case <-p.done:
--- a/io/gateway/pending.go
+++ b/io/gateway/pending.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"context"
 	"fmt"
 	"strings"
 	"time"
@@ -15,17 +14,16 @@
 
 // pending is one call while it is served. The gateway's lock guards it until done is closed.
 type pending struct {
-	gateway *Gateway
-	call    *Call
-	route   *catalog.Route
-	config  *catalog.Config
-	query   *gather.Query
-	timer   *time.Timer
+	*errand
+	route  *catalog.Route
+	config *catalog.Config
+	query  *gather.Query
+	timer  *time.Timer
 	// armed is when the timer fires.
 	armed   clock.Milli
 	replies []*Reply
-	conns   []*conn
-	left    bool
+	// cancels give up on the legs that other daemons send.
+	cancels []func()
 	answer  Answer
 	done    chan struct{}
 }
@@ -46,20 +44,30 @@
 	p.carryOut(now, actions)
 }
 
+// reserve makes room for a leg.
+func (p *pending) reserve(number int) {
+	for len(p.replies) <= number {
+		p.replies = append(p.replies, nil)
+		p.conns = append(p.conns, nil)
+	}
+}
+
 // carryOut does what the query wants done and sets the timer.
 func (p *pending) carryOut(now clock.Milli, actions []gather.Action) {
+	for i := range actions {
+		if a := &actions[i]; a.Kind == gather.Send {
+			p.reserve(a.Number)
+			p.noteSend(a)
+		}
+	}
+	actions = p.handOver(actions)
 	for i := range actions {
 		a := &actions[i]
 		switch a.Kind {
 		case gather.Send:
-			p.replies = append(p.replies, nil)
-			p.conns = append(p.conns, nil)
-			p.noteSend(a)
 			go p.send(a.Number, a.Upstream, a.Deadline)
 		case gather.Cancel:
-			if c := p.conns[a.Number]; c != nil {
-				_ = c.SetDeadline(time.Unix(1, 0))
-			}
+			p.cancel(a.Number)
 		case gather.Finish:
 			p.finish(now, &a.Outcome)
 		}
@@ -111,112 +119,6 @@
 	p.carryOut(now, p.query.Answered(now, number, result))
 }
 
-// exchange sends the call to an upstream and says how that ended.
-func (p *pending) exchange(number int, u *catalog.Upstream, deadline clock.Milli) (*Reply, gather.Result) {
-	g := p.gateway
-	c, err := p.connect(number, u, deadline)
-	if err != nil {
-		return nil, gather.Result{Run: reason.No, Reason: reason.Connection}
-	}
-	if !p.use(number, c) {
-		g.pool.put(u.Key(), c)
-
-		return nil, gather.Result{Run: reason.No, Reason: reason.Cancelled}
-	}
-	reply, keep, sent, err := c.exchange(g.ports.Now, &g.ports.Codec, p.call, u, deadline)
-	if keep {
-		g.pool.put(u.Key(), c)
-	} else {
-		_ = c.Close()
-	}
-	if err != nil {
-		return nil, p.broken(u, sent, err)
-	}
-
-	return reply, p.judge(u, reply)
-}
-
-func (p *pending) connect(number int, u *catalog.Upstream, deadline clock.Milli) (*conn, error) {
-	g := p.gateway
-	now := g.ports.Now()
-	if c := g.pool.take(now, u.Key()); c != nil {
-		return c, nil
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), (deadline - now).Duration())
-	defer cancel()
-	c, err := g.pool.dial(ctx, now, u)
-	if err != nil {
-		g.ports.Record(event.Event{
-			Kind: event.Connection, Reason: reason.Connection, Service: u.Service, Upstream: u.ID,
-			Request: p.call.ID, Detail: fmt.Sprintf("leg %d: %v", number, err),
-		})
-	}
-
-	return c, err
-}
-
-// use notes the connection of a leg, so that it can be cancelled. It reports false when the caller
-// has left already.
-func (p *pending) use(number int, c *conn) bool {
-	g := p.gateway
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	p.conns[number] = c
-
-	return !p.left
-}
-
-// abandoned reports whether the caller has left.
-func (p *pending) abandoned() bool {
-	p.gateway.mu.Lock()
-	defer p.gateway.mu.Unlock()
-
-	return p.left
-}
-
-// broken says what is known of a leg that brought no answer.
-func (p *pending) broken(u *catalog.Upstream, sent bool, err error) gather.Result {
-	run := reason.Unknown
-	if !sent {
-		run = reason.No
-	}
-	if p.abandoned() {
-		// The connection was closed here.
-		return gather.Result{Run: run, Reason: reason.Cancelled, Sent: sent}
-	}
-	p.gateway.ports.Record(event.Event{
-		Kind: event.Connection, Reason: reason.Failed, Service: u.Service, Upstream: u.ID, Request: p.call.ID,
-		Detail: err.Error(),
-	})
-
-	return gather.Result{Run: run, Reason: reason.Failed, Sent: sent}
-}
-
-// judge says what an answer is worth.
-func (p *pending) judge(u *catalog.Upstream, reply *Reply) gather.Result {
-	result := gather.Result{Sent: true, Run: reason.Yes, Load: reply.Load, Reason: reason.Failed}
-	switch {
-	case reply.NotRun && reply.Other:
-		result.Run, result.Reason = reason.No, reason.Incarnation
-	case reply.NotRun:
-		result.Run, result.Reason = reason.No, reason.Overload
-	case reply.Stamp == "":
-		result.Reason = reason.Mismatch
-	case reply.Status >= 200 && reply.Status < 300:
-		result.Good, result.Reason = true, ""
-	default:
-		result.Reply = !reply.Promise
-	}
-	if !result.Good {
-		p.gateway.ports.Record(event.Event{
-			Kind: event.Upstream, Reason: result.Reason, Service: u.Service, Upstream: u.ID, Request: p.call.ID,
-			Detail: fmt.Sprintf("status %d, run %s", reply.Status, result.Run),
-		})
-	}
-
-	return result
-}
-
 // finish builds the answer.
 func (p *pending) finish(now clock.Milli, outcome *gather.Outcome) {
 	defer close(p.done)
@@ -287,6 +189,9 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	p.left = true
+	for _, cancel := range p.cancels {
+		cancel()
+	}
 	now := g.ports.Now()
 	if !p.query.Done() {
 		p.note(now, event.Refusal, reason.Cancelled, "the caller left")
--- a/io/registry/record.go
+++ b/io/registry/record.go
@@ -51,6 +51,8 @@
 	// Front is where it takes requests.
 	Front string
 	Zone  string
+	// Relay is where it sends legs for other daemons, or empty.
+	Relay string
 	// Cores is the part of a processor core that it may use.
 	Cores float64
 }
@@ -61,13 +63,14 @@
 type memberRecord struct {
 	Front string  `json:"front"`
 	Zone  string  `json:"zone"`
+	Relay string  `json:"relay,omitempty"`
 	Cores float64 `json:"cores"`
 }
 
 func (m Member) key() string { return memberPrefix + m.Name }
 
 func (m Member) value() (string, error) {
-	text, err := json.Marshal(memberRecord{Front: m.Front, Zone: m.Zone, Cores: m.Cores})
+	text, err := json.Marshal(memberRecord{Front: m.Front, Zone: m.Zone, Relay: m.Relay, Cores: m.Cores})
 
 	return string(text), err //nolint:wrapcheck // Two strings are always encoded.
 }
@@ -86,5 +89,7 @@
 		return Record{}, err //nolint:wrapcheck // The caller logs it with the key.
 	}
 
-	return Record{Kind: Daemon, Member: Member{Name: name, Front: m.Front, Zone: m.Zone, Cores: m.Cores}}, nil
+	return Record{Kind: Daemon, Member: Member{
+		Name: name, Front: m.Front, Zone: m.Zone, Relay: m.Relay, Cores: m.Cores,
+	}}, nil
 }
--- a/io/settings/entry.go
+++ b/io/settings/entry.go
@@ -23,6 +23,8 @@
 	Ready     string `json:"ready"`
 	Directory string `json:"directory"`
 	Metrics   string `json:"metrics"`
+	// Relay is where other daemons hand over legs to upstreams of this one's zone. Without it none do.
+	Relay string `json:"relay"`
 	// Store is where the platform's store is called.
 	Store string `json:"store"`
 	// Keep is for how long callers may keep a directory's answer.
@@ -73,6 +75,9 @@
 	if e.Metrics != "" {
 		found = append(found, faults(address("metrics", e.Metrics, true))...)
 	}
+	if e.Relay != "" {
+		found = append(found, faults(address("relay", e.Relay, true))...)
+	}
 
 	return found
 }
--- a/io/settings/entry_test.go
+++ b/io/settings/entry_test.go
@@ -88,6 +88,7 @@
 			{"{{listen.directory|json}}", `"10.0.0.1:8100"`},
 			{"{{ip}}", "10.0.0.1"},
 			{"{{internalPorts.0}}", "7380"},
+			{"{{internalPorts.1}}", "7395"},
 			{"{{platform.addr|json}}", `"10.0.9.1:8102"`},
 			{"{{bounds.graceS}}", "6"},
 			{"{{bounds.retryRatio|json}}", "0.2"},
--- a/soak/world/daemon.go
+++ b/soak/world/daemon.go
@@ -60,7 +60,7 @@
 	s := settings.DefaultEntry()
 	s.Name, s.Zone, s.Store = fmt.Sprintf("daemon-%d", n), zone(n), store.Address()
 	s.Grace, s.Keep, s.Repeats.Slack = grace, clock.Second, w.log.Bounds.Slack
-	for _, address := range []*string{&s.Front, &s.Ready, &s.Directory, &s.Metrics} {
+	for _, address := range []*string{&s.Front, &s.Ready, &s.Directory, &s.Metrics, &s.Relay} {
 		if *address, err = w.freeAddress(ctx); err != nil {
 			return nil, err
 		}
