--- a/cmd/jacinthferry/flags.go
+++ b/cmd/jacinthferry/flags.go
@@ -70,10 +70,13 @@
 }
 
 // operatorFlags are those of every command that calls as operators do.
-func operatorFlags(more ...cli.Flag) []cli.Flag {
+func operatorFlags(more ...cli.Flag) []cli.Flag { return daemonFlags(true, more...) }
+
+// daemonFlags are the flags of a command that calls a daemon, always or unless it has other means.
+func daemonFlags(always bool, more ...cli.Flag) []cli.Flag {
 	flags := append([]cli.Flag{
 		&cli.StringSliceFlag{
-			Name: operatorFlag, Required: true, Sources: cli.EnvVars(environment + "OPERATOR"),
+			Name: operatorFlag, Required: always, Sources: cli.EnvVars(environment + "OPERATOR"),
 			Usage: "operator `ADDRESS` of a daemon, such as 10.0.0.1:7001; the next one is used if the first is not there",
 		},
 		&cli.DurationFlag{Name: timeoutFlag, Value: operatorTimeout, Usage: "time allowed"},
--- a/cmd/jacinthferry/why.go
+++ b/cmd/jacinthferry/why.go
@@ -32,14 +32,30 @@
 
 Examples:
   jacinthferry why --operator 10.0.0.1:7001 --service markers --since 30m
-  jacinthferry why --operator 10.0.0.1:7001 --reason cold --json`,
-		Flags: operatorFlags(
+  jacinthferry why --operator 10.0.0.1:7001 --reason cold --json
+  jacinthferry why --log daemon-1.log --log daemon-2.log --request 9c41d07be2a35f68
+  cat *.log | jacinthferry why --log - --service r-1
+
+With --log it reads the log lines of daemons instead, of which none need run any more; with --request it
+explains one request: its causes, the likeliest first, and its lines.`,
+		Flags: daemonFlags(false,
+			&cli.StringSliceFlag{Name: logFlag, Usage: "read this log `FILE`, or standard input if -; may be repeated"},
+			&cli.StringFlag{Name: requestFlag, Usage: "explain the request with this `ID`; needs --log"},
 			&cli.StringFlag{Name: serviceFlag, Usage: "only this service, and what concerns all of them"},
 			&cli.StringFlag{Name: "kind", Usage: "only this kind, such as refusal, retry, hedge or partial"},
 			&cli.StringFlag{Name: "reason", Usage: "only this reason"},
 			&cli.DurationFlag{Name: "since", Value: time.Hour, Usage: "how far to look back"},
 		),
 		Action: func(ctx context.Context, c *cli.Command) error {
+			if len(c.StringSlice(logFlag)) > 0 {
+				return whyFromLogs(c)
+			}
+			if c.String(requestFlag) != "" {
+				return usage("--request needs --log")
+			}
+			if len(c.StringSlice(operatorFlag)) == 0 {
+				return usage("name a daemon with --operator, or logs with --log")
+			}
 			found, err := gather(ctx, c)
 			if err != nil {
 				return err
--- a/core/event/event.go
+++ b/core/event/event.go
@@ -48,6 +48,8 @@
 	Quarantine Kind = "quarantine"
 	// Key is a certificate, key or shared key that was read again.
 	Key Kind = "key"
+	// Process is a start, stop or reload of a daemon, or a lost or regained link, as its log tells.
+	Process Kind = "process"
 	// Ledger is a decision about a non-idempotent request.
 	Ledger Kind = "ledger"
 )
--- /dev/null
+++ b/io/journal/read.go
@@ -0,0 +1,72 @@
+package journal
+
+import (
+	"bufio"
+	"encoding/json"
+	"io"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"jacinthferry/core/clock"
+	"jacinthferry/core/event"
+	"jacinthferry/core/reason"
+)
+
+// lineLimit is the longest line that is read, in bytes.
+const lineLimit = 1 << 20
+
+// logLine is a line of a daemon's log.
+type logLine struct {
+	Time     time.Time `json:"time"`
+	Message  string    `json:"msg"`
+	Name     string    `json:"name"`
+	Kind     string    `json:"kind"`
+	Reason   string    `json:"reason"`
+	Service  string    `json:"service"`
+	Version  string    `json:"version"`
+	Zone     string    `json:"zone"`
+	Upstream string    `json:"upstream"`
+	Daemon   string    `json:"daemon"`
+	Request  string    `json:"request"`
+	Detail   string    `json:"detail"`
+	Revision uint64    `json:"revision"`
+}
+
+// eventMessage is the message of a line that is an event.
+const eventMessage = "event"
+
+// Read returns the events in the log lines of daemons, and how many lines are none. What stands before
+// a line's first brace is passed over, as collectors put times and names there. Lines about the process
+// itself become events of the kind Process.
+func Read(r io.Reader) (list []event.Event, others int, err error) {
+	lines := bufio.NewScanner(r)
+	lines.Buffer(nil, lineLimit)
+	for lines.Scan() {
+		text := lines.Text()
+		var l logLine
+		start := strings.IndexByte(text, '{')
+		if start < 0 || json.Unmarshal([]byte(text[start:]), &l) != nil || l.Time.IsZero() {
+			others++
+
+			continue
+		}
+		list = append(list, l.event())
+	}
+
+	return list, others, errors.Wrap(lines.Err(), "journal: cannot read a log")
+}
+
+func (l *logLine) event() event.Event {
+	e := event.Event{
+		At: clock.At(l.Time), Kind: event.Kind(l.Kind), Reason: reason.Word(l.Reason), Service: l.Service,
+		Version: l.Version, Zone: l.Zone, Upstream: l.Upstream, Daemon: l.Daemon, Request: l.Request, Detail: l.Detail,
+		Revision: l.Revision,
+	}
+	if l.Message != eventMessage {
+		e.Kind, e.Daemon, e.Detail = event.Process, l.Name, l.Message
+	}
+
+	return e
+}
