Drop log lines that come after the log is closed

Cause: the log writer closed its channel at the end of the process, and a link to another daemon logged its own end after that (send on closed channel, in the log of the run). Any late line could do it. The spec panics without the change.

--- a/io/journal/writer_test.go
+++ b/io/journal/writer_test.go
@@ -47,6 +47,29 @@
 		Expect(kept + dropped).To(Equal(lines))
 	})
 
+	It("drops what is written while it closes and after", func() {
+		w := journal.NewWriter(io.Discard, 4)
+		stop := make(chan struct{})
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			for {
+				select {
+				case <-stop:
+					return
+				default:
+					_, _ = fmt.Fprintln(w, "line")
+				}
+			}
+		}()
+		w.Close(time.Second)
+		n, err := fmt.Fprintln(w, "late line")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(n).To(BeNumerically(">", 0))
+		close(stop)
+		Eventually(done).WithTimeout(5 * time.Second).Should(BeClosed())
+	})
+
 	It("gives up at its end on a reader that stopped", func() {
 		_, out := io.Pipe()
 		w := journal.NewWriter(out, 4)
--- a/soak/world/callers.go
+++ b/soak/world/callers.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -123,6 +124,12 @@
 	}
 }
 
+// drop stops using an address that failed, until a directory names it again.
+func (c *caller) drop(address string) {
+	c.list = slices.DeleteFunc(slices.Clone(c.list), func(a string) bool { return a == address })
+	c.until = 0
+}
+
 // once is a body that cannot be sent a second time, so that the HTTP library repeats no request.
 type once struct{ io.Reader }
 
@@ -144,6 +151,9 @@
 		wait, a.Gone = goneAfter, true
 	}
 	c.send(&a, address, wait)
+	if a.Answer == nil && !a.Gone {
+		c.drop(address)
+	}
 	w.note(func(l *check.Log) { l.Asks = append(l.Asks, a) })
 }
 
