--- a/core/cause/cause.go
+++ b/core/cause/cause.go
@@ -203,13 +203,11 @@
 			services[name] = true
 		}
 	}
-	if last.Reason != reason.Replica && len(services) == 0 {
+	if len(services) == 0 {
 		return
 	}
 	gone := s.near(before, 0, func(e *event.Event) bool {
-		named := len(services) == 0 || services[e.Service]
-
-		return e.Kind == event.Upstream && e.Request == "" && named &&
+		return e.Kind == event.Upstream && e.Request == "" && services[e.Service] &&
 			(e.Reason == reason.Lapsed || e.Reason == reason.Draining)
 	})
 	if len(gone) == 0 {
--- a/core/cause/cause_test.go
+++ b/core/cause/cause_test.go
@@ -90,6 +90,13 @@
 				{At: at, Kind: event.Partial, Reason: reason.Coverage, Request: "r", Detail: "without a b, after 100 ms"},
 			}
 		}, "2 upstreams ended or drained, such as a1"},
+		{"a service without upstreams", func() []event.Event {
+			return []event.Event{
+				{At: at - 5000, Kind: event.Upstream, Reason: reason.Lapsed, Service: "other", Upstream: "o1"},
+				{At: at - 4000, Kind: event.Upstream, Reason: reason.Draining, Service: "a", Upstream: "a1"},
+				{At: at, Kind: event.Refusal, Reason: reason.Replica, Request: "r", Detail: "without a, run no, after 0 ms"},
+			}
+		}, "1 upstreams ended or drained, such as a1"},
 		{"upstreams that are late", func() []event.Event {
 			return []event.Event{
 				{At: at, Kind: event.Hedge, Reason: reason.Slow, Service: "a", Request: "r"},
--- a/core/gather/desk.go
+++ b/core/gather/desk.go
@@ -216,7 +216,8 @@
 	// Legs are the numbers of those whose answers the caller gets: one for each shard that is
 	// covered, or the one whose answer is passed on.
 	Legs []int
-	// Missing are the services of the shards that are not covered.
+	// Missing are the services of the shards that an answer does not cover, or those without upstreams
+	// when there is no answer.
 	Missing []string
 	// Refusal is set when there is no such answer, and Retry when the caller may come back.
 	Refusal *reason.Refusal
--- a/core/gather/outcome.go
+++ b/core/gather/outcome.go
@@ -77,11 +77,24 @@
 		outcome.Legs = []int{q.shards[0].answer}
 	default:
 		outcome.Refusal = q.refusal(now)
+		outcome.Missing = q.withoutUpstream()
 		outcome.Retry = q.retryAfter(now)
 	}
 	q.emit(Action{Kind: Finish, Outcome: outcome})
 }
 
+// withoutUpstream returns the services that no upstream takes requests for.
+func (q *Query) withoutUpstream() []string {
+	var names []string
+	for i := range q.shards {
+		if name := q.shards[i].service.Name; len(q.view.Usable(name)) == 0 {
+			names = append(names, name)
+		}
+	}
+
+	return names
+}
+
 // refusal says why there is no answer, and whether the request was run.
 func (q *Query) refusal(now clock.Milli) *reason.Refusal {
 	run := reason.No
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -133,7 +133,7 @@
 		{s.Ready, platform.Ready(e.Ready)},
 		{s.Directory, platform.Directory(e.addresses)},
 		{s.Metrics, http.HandlerFunc(e.metrics)},
-		{s.Relay, &relay.Server{Now: e.now, Errands: e.gateway.Errands}},
+		{s.Relay, &relay.Server{Now: e.now, Send: e.gateway.SendLegs}},
 	}
 	for _, l := range listeners {
 		if l.address == "" {
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -112,7 +112,7 @@
 	if call.Left <= 0 {
 		call.Left = route.Timeout
 	}
-	p := &pending{errand: &errand{gateway: g, call: call}, route: route, config: view.Config, done: make(chan struct{})}
+	p := &pending{sender: &sender{gateway: g, call: call}, route: route, config: view.Config, done: make(chan struct{})}
 	p.start(view)
 	select {
 	case <-p.done:
--- a/io/gateway/pending.go
+++ b/io/gateway/pending.go
@@ -14,7 +14,7 @@
 
 // pending is one call while it is served. The gateway's lock guards it until done is closed.
 type pending struct {
-	*errand
+	*sender
 	route  *catalog.Route
 	config *catalog.Config
 	query  *gather.Query
@@ -125,7 +125,11 @@
 	p.gateway.ports.Observe(p.route.Name, now-p.call.Arrived, outcome.Refusal == nil)
 	if outcome.Refusal != nil {
 		p.answer = Answer{Refusal: outcome.Refusal, Retry: outcome.Retry}
-		p.note(now, event.Refusal, outcome.Refusal.Reason, "run "+string(outcome.Refusal.Run))
+		detail := "run " + string(outcome.Refusal.Run)
+		if len(outcome.Missing) > 0 {
+			detail = without(outcome.Missing) + ", " + detail
+		}
+		p.note(now, event.Refusal, outcome.Refusal.Reason, detail)
 
 		return
 	}
@@ -143,13 +147,26 @@
 	}
 	p.answer = Answer{Stamps: stamps, Missing: len(outcome.Missing), Body: gather.Top(parts, p.route.Top)}
 	if len(outcome.Missing) > 0 {
-		p.note(now, event.Partial, reason.Coverage, "without "+strings.Join(outcome.Missing, " "))
+		p.note(now, event.Partial, reason.Coverage, without(outcome.Missing))
 
 		return
 	}
 	p.note(now, event.Answer, "", "whole")
 }
 
+// namesLimit is how many services a line names at most.
+const namesLimit = 8
+
+// without names services for a line of the log.
+func without(services []string) string {
+	more := ""
+	if extra := len(services) - namesLimit; extra > 0 {
+		services, more = services[:namesLimit], fmt.Sprintf(" and %d more", extra)
+	}
+
+	return "without " + strings.Join(services, " ") + more
+}
+
 // note records how the call ended, with what that was decided on: the configuration and how long ago
 // the store confirmed it.
 func (p *pending) note(now clock.Milli, kind event.Kind, word reason.Word, detail string) {
--- a/io/gateway/relay.go
+++ b/io/gateway/relay.go
@@ -67,8 +67,8 @@
 	p.carryOut(now, p.query.Merged(now, parts))
 }
 
-// Errand is a leg that this daemon sends for another one.
-type Errand struct {
+// RelayLeg is a leg that this daemon sends for another one.
+type RelayLeg struct {
 	Number int
 	// Upstream is what the other daemon knows of it.
 	Upstream catalog.Upstream
@@ -76,24 +76,24 @@
 	Left clock.Milli
 }
 
-// outcome is how an errand ended, and when.
+// outcome is how a leg ended, and when.
 type outcome struct {
 	part Part
 	body []byte
 	at   clock.Milli
 }
 
-// Errands sends legs for another daemon until ctx ends. Failures are sent back at once; good answers are
+// SendLegs sends legs for another daemon until ctx ends. Failures are sent back at once; good answers are
 // merged into one that holds the greatest top records of those that come within wait, and later ones are
 // sent each alone: an answer that is merged cannot be used without the others in it.
-func (g *Gateway) Errands(
-	ctx context.Context, call *Call, legs []Errand, wait clock.Milli, top int, send func(Delivery),
+func (g *Gateway) SendLegs(
+	ctx context.Context, call *Call, legs []RelayLeg, wait clock.Milli, top int, send func(Delivery),
 ) {
-	e := &errand{gateway: g, call: call, conns: make([]*conn, len(legs))}
-	defer context.AfterFunc(ctx, e.cancelAll)()
+	s := &sender{gateway: g, call: call, conns: make([]*conn, len(legs))}
+	defer context.AfterFunc(ctx, s.cancelAll)()
 	outcomes := make(chan outcome, len(legs))
 	for i := range legs {
-		go func() { outcomes <- g.run(e, i, &legs[i]) }()
+		go func() { outcomes <- g.run(s, i, &legs[i]) }()
 	}
 	var flush <-chan time.Time
 	if wait > 0 {
@@ -150,7 +150,7 @@
 }
 
 // run sends one leg for another daemon.
-func (g *Gateway) run(e *errand, number int, leg *Errand) outcome {
+func (g *Gateway) run(s *sender, number int, leg *RelayLeg) outcome {
 	u := g.known(&leg.Upstream)
 	if u == nil {
 		return outcome{part: Part{Number: leg.Number, Result: gather.Result{Run: reason.No, Reason: reason.Draining}}}
@@ -160,7 +160,7 @@
 	g.mu.Lock()
 	g.fleet.Sent(sent, catalog.Service{}, u)
 	g.mu.Unlock()
-	reply, result := e.exchange(number, u, deadline)
+	reply, result := s.exchange(number, u, deadline)
 	o := outcome{part: Part{Number: leg.Number, Result: result}, at: g.ports.Now()}
 	if reply != nil {
 		o.part.Stamp, o.part.Cold = reply.Stamp, reply.Cold
@@ -170,7 +170,7 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	e.conns[number] = nil
+	s.conns[number] = nil
 	if o.part.Cold > 0 {
 		g.fleet.Chill(o.at, o.at+o.part.Cold, u)
 	}
@@ -180,11 +180,11 @@
 }
 
 // cancelAll breaks all legs off.
-func (e *errand) cancelAll() {
-	e.gateway.mu.Lock()
-	defer e.gateway.mu.Unlock()
-	e.left = true
-	for number := range e.conns {
-		e.cancel(number)
+func (s *sender) cancelAll() {
+	s.gateway.mu.Lock()
+	defer s.gateway.mu.Unlock()
+	s.left = true
+	for number := range s.conns {
+		s.cancel(number)
 	}
 }
--- a/io/gateway/errand.go
+++ b/io/gateway/sender.go
@@ -12,9 +12,9 @@
 	"jacinthferry/core/reason"
 )
 
-// errand sends one call to upstreams, over connections that can be cancelled. The gateway's lock
+// sender sends one call to upstreams, over connections that can be cancelled. The gateway's lock
 // guards conns and left.
-type errand struct {
+type sender struct {
 	gateway *Gateway
 	call    *Call
 	// conns are the connections of the legs that run, by their number.
@@ -24,39 +24,39 @@
 }
 
 // cancel breaks a leg off. The gateway's lock is held.
-func (e *errand) cancel(number int) {
-	if c := e.conns[number]; c != nil {
+func (s *sender) cancel(number int) {
+	if c := s.conns[number]; c != nil {
 		_ = c.SetDeadline(time.Unix(1, 0))
 	}
 }
 
 // exchange sends the call to an upstream and says how that ended.
-func (e *errand) exchange(number int, u *catalog.Upstream, deadline clock.Milli) (*Reply, gather.Result) {
-	g := e.gateway
-	c, err := e.connect(number, u, deadline)
+func (s *sender) exchange(number int, u *catalog.Upstream, deadline clock.Milli) (*Reply, gather.Result) {
+	g := s.gateway
+	c, err := s.connect(number, u, deadline)
 	if err != nil {
 		return nil, gather.Result{Run: reason.No, Reason: reason.Connection}
 	}
-	if !e.use(number, c) {
+	if !s.use(number, c) {
 		g.pool.put(u.Key(), c)
 
 		return nil, gather.Result{Run: reason.No, Reason: reason.Cancelled}
 	}
-	reply, keep, sent, err := c.exchange(g.ports.Now, &g.ports.Codec, e.call, u, deadline)
+	reply, keep, sent, err := c.exchange(g.ports.Now, &g.ports.Codec, s.call, u, deadline)
 	if keep {
 		g.pool.put(u.Key(), c)
 	} else {
 		_ = c.Close()
 	}
 	if err != nil {
-		return nil, e.broken(u, sent, err)
+		return nil, s.broken(u, sent, err)
 	}
 
-	return reply, e.judge(u, reply)
+	return reply, s.judge(u, reply)
 }
 
-func (e *errand) connect(number int, u *catalog.Upstream, deadline clock.Milli) (*conn, error) {
-	g := e.gateway
+func (s *sender) connect(number int, u *catalog.Upstream, deadline clock.Milli) (*conn, error) {
+	g := s.gateway
 	now := g.ports.Now()
 	if c := g.pool.take(now, u.Key()); c != nil {
 		return c, nil
@@ -67,7 +67,7 @@
 	if err != nil {
 		g.ports.Record(event.Event{
 			Kind: event.Connection, Reason: reason.Connection, Service: u.Service, Upstream: u.ID,
-			Request: e.call.ID, Detail: fmt.Sprintf("leg %d: %v", number, err),
+			Request: s.call.ID, Detail: fmt.Sprintf("leg %d: %v", number, err),
 		})
 	}
 
@@ -76,35 +76,35 @@
 
 // use notes the connection of a leg, so that it can be cancelled. It reports false when the caller
 // has left already.
-func (e *errand) use(number int, c *conn) bool {
-	g := e.gateway
+func (s *sender) use(number int, c *conn) bool {
+	g := s.gateway
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	e.conns[number] = c
+	s.conns[number] = c
 
-	return !e.left
+	return !s.left
 }
 
 // abandoned reports whether the caller has left.
-func (e *errand) abandoned() bool {
-	e.gateway.mu.Lock()
-	defer e.gateway.mu.Unlock()
+func (s *sender) abandoned() bool {
+	s.gateway.mu.Lock()
+	defer s.gateway.mu.Unlock()
 
-	return e.left
+	return s.left
 }
 
 // broken says what is known of a leg that brought no answer.
-func (e *errand) broken(u *catalog.Upstream, sent bool, err error) gather.Result {
+func (s *sender) broken(u *catalog.Upstream, sent bool, err error) gather.Result {
 	run := reason.Unknown
 	if !sent {
 		run = reason.No
 	}
-	if e.abandoned() {
+	if s.abandoned() {
 		// The connection was closed here.
 		return gather.Result{Run: run, Reason: reason.Cancelled, Sent: sent}
 	}
-	e.gateway.ports.Record(event.Event{
-		Kind: event.Connection, Reason: reason.Failed, Service: u.Service, Upstream: u.ID, Request: e.call.ID,
+	s.gateway.ports.Record(event.Event{
+		Kind: event.Connection, Reason: reason.Failed, Service: u.Service, Upstream: u.ID, Request: s.call.ID,
 		Detail: err.Error(),
 	})
 
@@ -112,7 +112,7 @@
 }
 
 // judge says what an answer is worth.
-func (e *errand) judge(u *catalog.Upstream, reply *Reply) gather.Result {
+func (s *sender) judge(u *catalog.Upstream, reply *Reply) gather.Result {
 	result := gather.Result{Sent: true, Run: reason.Yes, Load: reply.Load, Reason: reason.Failed}
 	switch {
 	case reply.NotRun && reply.Other:
@@ -127,8 +127,8 @@
 		result.Reply = !reply.Promise
 	}
 	if !result.Good {
-		e.gateway.ports.Record(event.Event{
-			Kind: event.Upstream, Reason: result.Reason, Service: u.Service, Upstream: u.ID, Request: e.call.ID,
+		s.gateway.ports.Record(event.Event{
+			Kind: event.Upstream, Reason: result.Reason, Service: u.Service, Upstream: u.ID, Request: s.call.ID,
 			Detail: fmt.Sprintf("status %d, run %s", reply.Status, result.Run),
 		})
 	}
--- a/io/relay/relay_test.go
+++ b/io/relay/relay_test.go
@@ -26,11 +26,11 @@
 
 var now = timer.New()
 
-// errands is what a server is asked to send.
-type errands struct {
+// job is what a server is asked to send.
+type job struct {
 	ctx  context.Context
 	call *gateway.Call
-	legs []gateway.Errand
+	legs []gateway.RelayLeg
 	wait clock.Milli
 	top  int
 	send func(gateway.Delivery)
@@ -41,15 +41,15 @@
 // far is a daemon that sends legs for others. What it is asked waits in asked.
 type far struct {
 	server *httptest.Server
-	asked  chan *errands
+	asked  chan *job
 }
 
 func newFar() *far {
-	f := &far{asked: make(chan *errands, 10)}
-	f.server = httptest.NewServer(&relay.Server{Now: now, Errands: func(
-		ctx context.Context, call *gateway.Call, legs []gateway.Errand, wait clock.Milli, top int, send func(gateway.Delivery),
+	f := &far{asked: make(chan *job, 10)}
+	f.server = httptest.NewServer(&relay.Server{Now: now, Send: func(
+		ctx context.Context, call *gateway.Call, legs []gateway.RelayLeg, wait clock.Milli, top int, send func(gateway.Delivery),
 	) {
-		e := &errands{ctx, call, legs, wait, top, send, make(chan struct{})}
+		e := &job{ctx, call, legs, wait, top, send, make(chan struct{})}
 		f.asked <- e
 		select {
 		case <-e.done:
--- a/io/relay/server.go
+++ b/io/relay/server.go
@@ -19,9 +19,9 @@
 // Server sends legs for other daemons.
 type Server struct {
 	Now func() clock.Milli
-	// Errands sends the legs of a call, as gateway.Gateway does.
-	Errands func(
-		ctx context.Context, call *gateway.Call, legs []gateway.Errand, wait clock.Milli, top int,
+	// Send sends the legs of a call, as gateway.Gateway does.
+	Send func(
+		ctx context.Context, call *gateway.Call, legs []gateway.RelayLeg, wait clock.Milli, top int,
 		send func(gateway.Delivery),
 	)
 }
@@ -80,7 +80,7 @@
 	l.mu.Unlock()
 	go func() {
 		defer l.end(a.ID)
-		l.server.Errands(ctx, a.call(l.server.Now()), a.errands(), a.Wait, a.Top, func(d gateway.Delivery) {
+		l.server.Send(ctx, a.call(l.server.Now()), a.relayLegs(), a.Wait, a.Top, func(d gateway.Delivery) {
 			l.write(newDelivery(a.ID, d))
 		})
 	}()
--- a/io/relay/wire.go
+++ b/io/relay/wire.go
@@ -102,10 +102,10 @@
 	}
 }
 
-func (a *ask) errands() []gateway.Errand {
-	list := make([]gateway.Errand, 0, len(a.Legs))
+func (a *ask) relayLegs() []gateway.RelayLeg {
+	list := make([]gateway.RelayLeg, 0, len(a.Legs))
 	for _, l := range a.Legs {
-		list = append(list, gateway.Errand{
+		list = append(list, gateway.RelayLeg{
 			Number: l.Number, Left: l.Left, Upstream: catalog.Upstream{
 				ID: l.Upstream, Born: l.Born, Service: l.Service, Address: l.Address, Zone: l.Zone, Slots: l.Slots,
 			},
