Judge a new version by what all daemons counted

Cause: four daemons tried it 1.2 times a second each; the share of failures beyond what is allowed, 0.15, needs 20 tries for a verdict, 16 s of a trial of 14 s. Change: while a move is under way daemons write what they counted once a second at most, and the sum is judged as each daemon's own count is; the entries go at the end of the move.

--- a/core/gather/desk.go
+++ b/core/gather/desk.go
@@ -134,6 +134,11 @@
 // Bad reports whether the version that a service moves to was found to be worse than the one before.
 func (d *Desk) Bad(service string, move catalog.Move) bool { return d.judge.Bad(service, move) }
 
+// Tallies returns what this daemon has counted for a move, by route.
+func (d *Desk) Tallies(service string, move catalog.Move) map[string]rollout.Tally {
+	return d.judge.Tallies(service, move)
+}
+
 // budget returns this daemon's part of the extra sends to a service.
 func (d *Desk) budget(now clock.Milli, service string) *budget.Window {
 	quota := budget.Quota{
--- a/core/rollout/judge.go
+++ b/core/rollout/judge.go
@@ -46,6 +46,38 @@
 	routes map[string]*evidence
 }
 
+// Tally is what one daemon has counted on one route: answers, and how many of them count as failures.
+type Tally struct {
+	Tried    int
+	Bad      float64
+	Usual    int
+	UsualBad float64
+}
+
+// Add returns the sum of two tallies.
+func (t Tally) Add(o Tally) Tally {
+	return Tally{t.Tried + o.Tried, t.Bad + o.Bad, t.Usual + o.Usual, t.UsualBad + o.UsualBad}
+}
+
+// allowed returns the share of failures that the new version may have.
+func (t Tally) allowed() float64 {
+	return failureTimes*t.UsualBad/float64(max(1, t.Usual)) + failureSlack
+}
+
+// Tallies returns what this daemon has counted for a move, by route.
+func (j *Judge) Tallies(service string, move catalog.Move) map[string]Tally {
+	t := j.cases[service]
+	if t == nil || t.order != move.Order {
+		return nil
+	}
+	list := make(map[string]Tally, len(t.routes))
+	for name, e := range t.routes {
+		list[name] = e.tally
+	}
+
+	return list
+}
+
 // evidence is what the answers on one route show.
 type evidence struct {
 	// latency and failures are averages of the old version, and samples the answers that they are of.
@@ -54,6 +86,7 @@
 	samples  int
 	// excess is how far the new version's failures are beyond what is allowed.
 	excess float64
+	tally  Tally
 }
 
 // NewJudge returns a judge without evidence.
@@ -76,7 +109,10 @@
 
 		return
 	}
-	e.excess = max(0, e.excess+e.weigh(a)-failureTimes*e.failures-failureSlack)
+	weight := e.weigh(a)
+	e.tally.Tried++
+	e.tally.Bad += weight
+	e.excess = max(0, e.excess+weight-failureTimes*e.failures-failureSlack)
 	t.bad = t.bad || e.excess >= tripAt
 }
 
@@ -89,7 +125,10 @@
 
 // learn takes an answer of the old version.
 func (e *evidence) learn(a Answer) {
-	e.failures += gain * (e.weigh(a) - e.failures)
+	weight := e.weigh(a)
+	e.tally.Usual++
+	e.tally.UsualBad += weight
+	e.failures += gain * (weight - e.failures)
 	if !a.Good {
 		return
 	}
--- a/core/rollout/rollout_test.go
+++ b/core/rollout/rollout_test.go
@@ -167,3 +167,58 @@
 		Expect(j.Bad("s", next)).To(BeFalse())
 	})
 })
+
+var _ = Describe("The panel", func() {
+	move := catalog.Move{Version: "v2", Stage: catalog.Trial, Order: 7}
+
+	// found plays daemons that each see few answers, and returns after how many of the new version they
+	// find it bad together. Before has that many good answers at first.
+	found := func(daemons, before int, fails float64) (tried int, bad bool) {
+		random := rand.New(rand.NewPCG(2, 3))
+		panel := rollout.NewPanel()
+		var sum rollout.Tally
+		for tried = 0; tried < before+200; {
+			for range daemons {
+				sum.Usual += 10
+				sum.UsualBad += 0.1
+				sum.Tried++
+				tried++
+				if tried > before && random.Float64() < fails {
+					sum.Bad++
+				}
+			}
+			if panel.Worse("s", move, map[string]rollout.Tally{"r": sum}) {
+				return tried - before, true
+			}
+		}
+
+		return tried, false
+	}
+
+	It("finds a version bad after few answers of each daemon", func() {
+		tried, bad := found(4, 0, 0.25)
+		Expect(bad).To(BeTrue())
+		Expect(tried).To(BeNumerically("<=", 60))
+	})
+
+	It("finds a version bad that turns so late", func() {
+		tried, bad := found(4, 400, 0.25)
+		Expect(bad).To(BeTrue())
+		Expect(tried).To(BeNumerically("<=", 60))
+	})
+
+	It("does not find one bad that fails no more than is allowed", func() {
+		_, bad := found(4, 0, 0.03)
+		Expect(bad).To(BeFalse())
+	})
+
+	It("goes on when a daemon has gone with what it counted", func() {
+		panel := rollout.NewPanel()
+		sums := func(tried int, bad float64) map[string]rollout.Tally {
+			return map[string]rollout.Tally{"r": {Tried: tried, Bad: bad}}
+		}
+		Expect(panel.Worse("s", move, sums(100, 5))).To(BeFalse())
+		Expect(panel.Worse("s", move, sums(40, 2))).To(BeFalse())
+		Expect(panel.Worse("s", move, sums(44, 6))).To(BeTrue())
+	})
+})
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -12,6 +12,7 @@
 	"jacinthferry/core/event"
 	"jacinthferry/core/gather"
 	"jacinthferry/core/reason"
+	"jacinthferry/core/rollout"
 )
 
 // pruneEvery is the time between two looks for connections and beliefs that nothing needs.
@@ -73,6 +74,14 @@
 	return g.desk.Bad(service, m)
 }
 
+// Tallies returns what this daemon has counted for a move, by route.
+func (g *Gateway) Tallies(service string, m catalog.Move) map[string]rollout.Tally {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+
+	return g.desk.Tallies(service, m)
+}
+
 // Run drops what nothing needs any more until ctx ends.
 func (g *Gateway) Run(ctx context.Context) {
 	ticker := time.NewTicker(pruneEvery)
--- a/io/registry/moves.go
+++ b/io/registry/moves.go
@@ -87,9 +87,14 @@
 func (r *Registry) advanceOne(ctx context.Context, o rollout.Order) error {
 	now := r.ports.Now()
 	held := r.entries[moveKey(o.Service)]
-	bad := r.ports.Bad(o.Service, r.move(o))
+	move := r.move(o)
+	bad := r.ports.Bad(o.Service, move) || r.worse(o.Service, move)
 	next, changed := rollout.Next(now, o, held.record.Progress, bad)
 	if !changed {
+		if err := r.testify(ctx, now, o.Service, move); err != nil {
+			return err
+		}
+
 		return r.report(ctx, now, o.Service, next.Move)
 	}
 	text, err := encodeMove(next.Move)
--- a/io/registry/record.go
+++ b/io/registry/record.go
@@ -30,6 +30,8 @@
 	Order
 	Progress
 	Report
+	// Evidence is what one daemon has counted for a move.
+	Evidence
 )
 
 // Record is what an entry of the store says.
@@ -42,7 +44,8 @@
 	Order    rollout.Order
 	Progress rollout.Progress
 	// Text is a report as it was written.
-	Text string
+	Text     string
+	Evidence evidence
 }
 
 // Member is one daemon.
@@ -80,6 +83,9 @@
 	if strings.HasPrefix(e.Key, movePrefix) {
 		return decodeMove(e, now)
 	}
+	if strings.HasPrefix(e.Key, evidencePrefix) {
+		return decodeEvidence(e)
+	}
 	name, ok := strings.CutPrefix(e.Key, memberPrefix)
 	if !ok {
 		return p.Decode(e, now)
--- a/io/registry/registry.go
+++ b/io/registry/registry.go
@@ -10,6 +10,7 @@
 	"jacinthferry/core/clock"
 	"jacinthferry/core/event"
 	"jacinthferry/core/reason"
+	"jacinthferry/core/rollout"
 	"jacinthferry/io/store"
 )
 
@@ -44,6 +45,8 @@
 	// Bad reports whether this daemon found the version that a service moves to worse than the one
 	// before.
 	Bad func(service string, m catalog.Move) bool
+	// Tallies returns what this daemon has counted for a move, by route.
+	Tallies func(service string, m catalog.Move) map[string]rollout.Tally
 	// Report returns the key and text that tell the operators of a move.
 	Report func(service string, m catalog.Move) (key, text string, err error)
 	// Self is this daemon's own entry.
@@ -91,6 +94,10 @@
 	retired clock.Milli
 	chosen  bool
 	settled bool
+	// panel judges version moves by what all daemons counted.
+	panel *rollout.Panel
+	// told is when this daemon last wrote what it counted for a move, by service.
+	told map[string]clock.Milli
 	// counts are the numbers of daemons that were known, oldest first.
 	counts []count
 }
@@ -103,7 +110,10 @@
 
 // New returns a registry that knows nothing yet.
 func New(ports Ports) *Registry {
-	return &Registry{ports: ports, entries: make(map[string]held), started: ports.Now()}
+	return &Registry{
+		ports: ports, entries: make(map[string]held), panel: rollout.NewPanel(), told: make(map[string]clock.Milli),
+		started: ports.Now(),
+	}
 }
 
 // State returns the newest state, or nil before the first.
--- a/io/registry/registry_test.go
+++ b/io/registry/registry_test.go
@@ -31,6 +31,7 @@
 	lists    int
 	stales   int
 	bad      bool
+	tallies  map[string]rollout.Tally
 	// lose is set while writes take effect and their answers are lost.
 	lose   bool
 	writes int
@@ -111,8 +112,14 @@
 
 		return store.Write{Done: true, Revision: r.revision}, nil
 	}
+	port.Delete = func(_ context.Context, key string, _ int64) (store.Write, error) {
+		r.remove(key)
+
+		return store.Write{Done: true}, nil
+	}
 	r.Registry = registry.New(registry.Ports{
-		Bad: func(string, catalog.Move) bool { return r.bad },
+		Bad:     func(string, catalog.Move) bool { return r.bad },
+		Tallies: func(string, catalog.Move) map[string]rollout.Tally { return r.tallies },
 		Report: func(service string, m catalog.Move) (string, string, error) {
 			return "report/" + service, "report " + string(m.Stage), nil
 		},
