--- a/io/settings/entry_test.go
+++ b/io/settings/entry_test.go
@@ -116,7 +116,7 @@
 
 		By("leaving out what the platform does not name")
 		sections := regexp.MustCompile(`\{\{#[\w.]+\}\}.*\{\{/[\w.]+\}\}`)
-		Expect(sections.FindAllString(text, -1)).To(HaveLen(2))
+		Expect(sections.FindAllString(text, -1)).To(HaveLen(4))
 		e = parse(sections.ReplaceAllString(text, ""))
 		Expect(e.Repeats).To(Equal(settings.DefaultEntry().Repeats))
 	})
