--- a/io/relay/links.go
+++ b/io/relay/links.go
@@ -15,9 +15,10 @@
 )
 
 const (
-	// dialTimeout bounds the opening of a link, and dialPause is the time between two tries.
+	// dialTimeout bounds the opening of a link, and dialPause is the time between the starts of two tries.
+	// It is longer, so that one address has one link at most.
 	dialTimeout = clock.Second
-	dialPause   = clock.Second
+	dialPause   = 1500 * clock.Millisecond
 	// candidates is how many daemons of a zone are tried for a group.
 	candidates = 2
 )
