--- a/core/gather/desk.go
+++ b/core/gather/desk.go
@@ -55,7 +55,7 @@
 	uniform   func() float64
 	budgets   map[string]*budget.Window
 	latencies map[string]*latency.Window
-	judge     *rollout.Judge
+	analyzer  *rollout.Analyzer
 	actions   []Action
 	// born is when the first request came, or 0.
 	born clock.Milli
@@ -67,7 +67,7 @@
 	return &Desk{
 		policy: policy, fleet: fleet, daemons: daemons, uniform: uniform,
 		budgets: make(map[string]*budget.Window), latencies: make(map[string]*latency.Window),
-		judge: rollout.NewJudge(),
+		analyzer: rollout.NewAnalyzer(),
 	}
 }
 
@@ -132,11 +132,11 @@
 }
 
 // Bad reports whether the version that a service moves to was found to be worse than the one before.
-func (d *Desk) Bad(service string, move catalog.Move) bool { return d.judge.Bad(service, move) }
+func (d *Desk) Bad(service string, move catalog.Move) bool { return d.analyzer.Bad(service, move) }
 
-// Tallies returns what this daemon has counted for a move, by route.
-func (d *Desk) Tallies(service string, move catalog.Move) map[string]rollout.Tally {
-	return d.judge.Tallies(service, move)
+// Counts returns what this daemon has counted for a move, by route.
+func (d *Desk) Counts(service string, move catalog.Move) map[string]rollout.Counts {
+	return d.analyzer.Counts(service, move)
 }
 
 // budget returns this daemon's part of the extra sends to a service.
--- a/core/rollout/judge.go
+++ b/core/rollout/analyzer.go
@@ -32,76 +32,76 @@
 	Latency clock.Milli
 }
 
-// Judge compares the answers of a new version with those of the old one, for each route, because a
+// Analyzer compares the answers of a new version with those of the old one, for each route, because a
 // version may be bad on one route only. It is not safe for concurrent use.
-type Judge struct {
-	cases map[string]*trial
+type Analyzer struct {
+	moves map[string]*analysis
 }
 
-// trial is the evidence of one move.
-type trial struct {
+// analysis is what is known of one move.
+type analysis struct {
 	// order is the one that the move follows.
 	order  int64
 	bad    bool
-	routes map[string]*evidence
+	routes map[string]*routeStats
 }
 
-// Tally is what one daemon has counted on one route: answers, and how many of them count as failures.
-type Tally struct {
+// Counts is what one daemon has counted on one route: answers, and how many of them count as failures.
+type Counts struct {
 	Tried    int
 	Bad      float64
 	Usual    int
 	UsualBad float64
 }
 
-// Add returns the sum of two tallies.
-func (t Tally) Add(o Tally) Tally {
-	return Tally{t.Tried + o.Tried, t.Bad + o.Bad, t.Usual + o.Usual, t.UsualBad + o.UsualBad}
+// Add returns the sum of two counts.
+func (t Counts) Add(o Counts) Counts {
+	return Counts{t.Tried + o.Tried, t.Bad + o.Bad, t.Usual + o.Usual, t.UsualBad + o.UsualBad}
 }
 
 // allowed returns the share of failures that the new version may have.
-func (t Tally) allowed() float64 {
+func (t Counts) allowed() float64 {
 	return failureTimes*t.UsualBad/float64(max(1, t.Usual)) + failureSlack
 }
 
-// Tallies returns what this daemon has counted for a move, by route.
-func (j *Judge) Tallies(service string, move catalog.Move) map[string]Tally {
-	t := j.cases[service]
+// Counts returns what this daemon has counted for a move, by route.
+func (an *Analyzer) Counts(service string, move catalog.Move) map[string]Counts {
+	t := an.moves[service]
 	if t == nil || t.order != move.Order {
 		return nil
 	}
-	list := make(map[string]Tally, len(t.routes))
+	list := make(map[string]Counts, len(t.routes))
 	for name, e := range t.routes {
-		list[name] = e.tally
+		list[name] = e.counts
 	}
 
 	return list
 }
 
-// evidence is what the answers on one route show.
-type evidence struct {
+// routeStats is what the answers on one route show.
+type routeStats struct {
 	// latency and failures are averages of the old version, and samples the answers that they are of.
 	latency  clock.Milli
 	failures float64
 	samples  int
 	// excess is how far the new version's failures are beyond what is allowed.
 	excess float64
-	tally  Tally
+	counts Counts
 }
 
-// NewJudge returns a judge without evidence.
-func NewJudge() *Judge { return &Judge{cases: make(map[string]*trial)} }
+// NewAnalyzer returns an analyzer that has seen nothing.
+func NewAnalyzer() *Analyzer { return &Analyzer{moves: make(map[string]*analysis)} }
 
 // Add takes an answer to a request on a service that is moved.
-func (j *Judge) Add(move catalog.Move, a Answer) {
-	t := j.cases[a.Service]
+func (an *Analyzer) Add(move catalog.Move, a Answer) {
+	t := an.moves[a.Service]
 	if t == nil || t.order != move.Order {
-		t = &trial{order: move.Order, routes: make(map[string]*evidence)}
-		j.cases[a.Service] = t
+		t = &analysis{order: move.Order, routes: make(map[string]*routeStats)}
+		an.moves[a.Service] = t
 	}
 	e := t.routes[a.Route]
 	if e == nil {
-		e = &evidence{}
+		e = &routeStats{}
 		t.routes[a.Route] = e
 	}
 	if a.Version != move.Version {
@@ -110,24 +110,24 @@
 		return
 	}
 	weight := e.weigh(a)
-	e.tally.Tried++
-	e.tally.Bad += weight
+	e.counts.Tried++
+	e.counts.Bad += weight
 	e.excess = max(0, e.excess+weight-failureTimes*e.failures-failureSlack)
 	t.bad = t.bad || e.excess >= tripAt
 }
 
 // Bad reports whether the version that a service is moved to was found to be worse.
-func (j *Judge) Bad(service string, move catalog.Move) bool {
-	t := j.cases[service]
+func (an *Analyzer) Bad(service string, move catalog.Move) bool {
+	t := an.moves[service]
 
 	return t != nil && t.bad && t.order == move.Order
 }
 
 // learn takes an answer of the old version.
-func (e *evidence) learn(a Answer) {
+func (e *routeStats) learn(a Answer) {
 	weight := e.weigh(a)
-	e.tally.Usual++
-	e.tally.UsualBad += weight
+	e.counts.Usual++
+	e.counts.UsualBad += weight
 	e.failures += gain * (weight - e.failures)
 	if !a.Good {
 		return
@@ -140,7 +140,7 @@
 }
 
 // weigh returns how much an answer counts as a failure, from 0 to 1.
-func (e *evidence) weigh(a Answer) float64 {
+func (e *routeStats) weigh(a Answer) float64 {
 	switch {
 	case !a.Good:
 		return 1
--- a/core/rollout/rollout_test.go
+++ b/core/rollout/rollout_test.go
@@ -76,7 +76,7 @@
 	slowTimes   clock.Milli
 }
 
-var _ = Describe("The judge", func() {
+var _ = Describe("The analyzer", func() {
 	move := catalog.Move{Version: "v2", Stage: catalog.Trial, Order: 7}
 	usual := behaviour{fails: 0.01, slow: 0.04, slowTimes: 10}
 
@@ -84,7 +84,7 @@
 	// slow answers of it came before the verdict, and whether there was one.
 	answers := func(seed uint64, n int, old, target behaviour) (cost int, bad bool) {
 		random := rand.New(rand.NewPCG(seed, 1))
-		j := rollout.NewJudge()
+		an := rollout.NewAnalyzer()
 		for range n {
 			a := rollout.Answer{Service: "s", Route: "r", Version: "v1", Good: true, Latency: clock.Milli(10 + 5*random.Float64())}
 			b := old
@@ -95,11 +95,11 @@
 			if random.Float64() < b.slow {
 				a.Latency *= b.slowTimes
 			}
-			j.Add(move, a)
+			an.Add(move, a)
 			if a.Version == "v2" && (!a.Good || a.Latency > 30) {
 				cost++
 			}
-			if j.Bad("s", move) {
+			if an.Bad("s", move) {
 				return cost, true
 			}
 		}
@@ -147,36 +147,36 @@
 	})
 
 	It("sees a version that is bad on one route only", func() {
-		j := rollout.NewJudge()
+		an := rollout.NewAnalyzer()
 		for range 10 {
-			j.Add(move, rollout.Answer{Service: "s", Route: "fine", Version: "v2", Good: true, Latency: 10})
-			j.Add(move, rollout.Answer{Service: "s", Route: "broken", Version: "v2"})
+			an.Add(move, rollout.Answer{Service: "s", Route: "fine", Version: "v2", Good: true, Latency: 10})
+			an.Add(move, rollout.Answer{Service: "s", Route: "broken", Version: "v2"})
 		}
-		Expect(j.Bad("s", move)).To(BeTrue())
+		Expect(an.Bad("s", move)).To(BeTrue())
 	})
 
-	It("keeps no evidence from one order to the next", func() {
-		j := rollout.NewJudge()
+	It("keeps nothing from one order to the next", func() {
+		an := rollout.NewAnalyzer()
 		for range 10 {
-			j.Add(move, rollout.Answer{Service: "s", Route: "r", Version: "v2"})
+			an.Add(move, rollout.Answer{Service: "s", Route: "r", Version: "v2"})
 		}
 		next := move
 		next.Order++
-		Expect(j.Bad("s", next)).To(BeFalse())
-		j.Add(next, rollout.Answer{Service: "s", Route: "r", Version: "v2", Good: true, Latency: 10})
-		Expect(j.Bad("s", next)).To(BeFalse())
+		Expect(an.Bad("s", next)).To(BeFalse())
+		an.Add(next, rollout.Answer{Service: "s", Route: "r", Version: "v2", Good: true, Latency: 10})
+		Expect(an.Bad("s", next)).To(BeFalse())
 	})
 })
 
-var _ = Describe("The panel", func() {
+var _ = Describe("The aggregate", func() {
 	move := catalog.Move{Version: "v2", Stage: catalog.Trial, Order: 7}
 
 	// found plays daemons that each see few answers, and returns after how many of the new version they
 	// find it bad together. Before has that many good answers at first.
 	found := func(daemons, before int, fails float64) (tried int, bad bool) {
 		random := rand.New(rand.NewPCG(2, 3))
-		panel := rollout.NewPanel()
-		var sum rollout.Tally
+		aggregate := rollout.NewAggregate()
+		var sum rollout.Counts
 		for tried = 0; tried < before+200; {
 			for range daemons {
 				sum.Usual += 10
@@ -187,7 +187,7 @@
 					sum.Bad++
 				}
 			}
-			if panel.Worse("s", move, map[string]rollout.Tally{"r": sum}) {
+			if aggregate.Worse("s", move, map[string]rollout.Counts{"r": sum}) {
 				return tried - before, true
 			}
 		}
@@ -213,12 +213,12 @@
 	})
 
 	It("goes on when a daemon has gone with what it counted", func() {
-		panel := rollout.NewPanel()
-		sums := func(tried int, bad float64) map[string]rollout.Tally {
-			return map[string]rollout.Tally{"r": {Tried: tried, Bad: bad}}
+		aggregate := rollout.NewAggregate()
+		sums := func(tried int, bad float64) map[string]rollout.Counts {
+			return map[string]rollout.Counts{"r": {Tried: tried, Bad: bad}}
 		}
-		Expect(panel.Worse("s", move, sums(100, 5))).To(BeFalse())
-		Expect(panel.Worse("s", move, sums(40, 2))).To(BeFalse())
-		Expect(panel.Worse("s", move, sums(44, 6))).To(BeTrue())
+		Expect(aggregate.Worse("s", move, sums(100, 5))).To(BeFalse())
+		Expect(aggregate.Worse("s", move, sums(40, 2))).To(BeFalse())
+		Expect(aggregate.Worse("s", move, sums(44, 6))).To(BeTrue())
 	})
 })
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -70,7 +70,7 @@
 	store := &http.Client{Transport: &http.Transport{DialContext: socket.Dialer(storeDial, storeAck).DialContext}}
 	ports := registry.Ports{
 		Now: now, Store: platform.NewStore(s.Store, store), Decode: platform.Decode, Record: e.journal.Record,
-		Bad: e.bad, Tallies: e.tallies, Report: platform.EncodeReport,
+		Bad: e.bad, Counts: e.counts, Report: platform.EncodeReport,
 		Self: registry.Member{Name: s.Name, Front: s.Front, Zone: s.Zone, Relay: s.Relay, Cores: s.Cores * s.Share},
 	}
 	e.registry = registry.New(ports)
@@ -103,9 +103,9 @@
 // bad reports whether this daemon found a version that a service moves to worse than the one before.
 func (e *Entry) bad(service string, m catalog.Move) bool { return e.gateway.Bad(service, m) }
 
-// tallies returns what this daemon has counted for a move.
-func (e *Entry) tallies(service string, m catalog.Move) map[string]rollout.Tally {
-	return e.gateway.Tallies(service, m)
+// counts returns what this daemon has counted for a move.
+func (e *Entry) counts(service string, m catalog.Move) map[string]rollout.Counts {
+	return e.gateway.Counts(service, m)
 }
 
 func policy(s settings.Entry) gather.Policy {
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -74,12 +74,12 @@
 	return g.desk.Bad(service, m)
 }
 
-// Tallies returns what this daemon has counted for a move, by route.
-func (g *Gateway) Tallies(service string, m catalog.Move) map[string]rollout.Tally {
+// Counts returns what this daemon has counted for a move, by route.
+func (g *Gateway) Counts(service string, m catalog.Move) map[string]rollout.Counts {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 
-	return g.desk.Tallies(service, m)
+	return g.desk.Counts(service, m)
 }
 
 // Run drops what nothing needs any more until ctx ends.
--- a/io/registry/moves.go
+++ b/io/registry/moves.go
@@ -91,7 +91,7 @@
 	bad := r.ports.Bad(o.Service, move) || r.worse(o.Service, move)
 	next, changed := rollout.Next(now, o, held.record.Progress, bad)
 	if !changed {
-		if err := r.testify(ctx, now, o.Service, move); err != nil {
+		if err := r.shareResults(ctx, now, o.Service, move); err != nil {
 			return err
 		}
 
--- a/io/registry/moves_test.go
+++ b/io/registry/moves_test.go
@@ -103,11 +103,11 @@
 
 	It("goes back when all daemons together have seen enough, and nobody alone", func() {
 		r := begin()
-		r.tallies = map[string]rollout.Tally{"r": {Tried: 5, Bad: 2, Usual: 100}}
+		r.results = map[string]rollout.Counts{"r": {Tried: 5, Bad: 2, Usual: 100}}
 		r.turn(1000)
 		Expect(stage(r)).To(Equal(catalog.Trial))
 		other := func(order int, tried, bad int) {
-			r.put("jacinthferry/evidence/s/other", fmt.Sprintf(
+			r.put("jacinthferry/results/s/other", fmt.Sprintf(
 				`{"order":%d,"routes":{"r":{"tried":%d,"bad":%d,"usual":100,"failed":0}}}`, order, tried, bad))
 		}
 		other(2, 5, 5)
@@ -118,23 +118,23 @@
 		Expect(stage(r)).To(Equal(catalog.Back))
 		r.turn(1000)
 		for key := range r.entries {
-			Expect(key).NotTo(HavePrefix("jacinthferry/evidence/"))
+			Expect(key).NotTo(HavePrefix("jacinthferry/results/"))
 		}
 	})
 
 	It("tells what this daemon counted once a second at most, and only what is new", func() {
 		r := begin()
 		before := r.writes
-		r.tallies = map[string]rollout.Tally{"r": {Tried: 1, Usual: 10}}
+		r.results = map[string]rollout.Counts{"r": {Tried: 1, Usual: 10}}
 		r.turn(1000)
 		Expect(r.writes).To(Equal(before + 1))
-		Expect(r.entries).To(HaveKey("jacinthferry/evidence/s/self"))
+		Expect(r.entries).To(HaveKey("jacinthferry/results/s/self"))
 		r.turn(1000)
 		Expect(r.writes).To(Equal(before + 1))
-		r.tallies = map[string]rollout.Tally{"r": {Tried: 2, Usual: 20}}
+		r.results = map[string]rollout.Counts{"r": {Tried: 2, Usual: 20}}
 		r.turn(1000)
 		Expect(r.writes).To(Equal(before + 2))
-		r.tallies = map[string]rollout.Tally{"r": {Tried: 3, Usual: 30}}
+		r.results = map[string]rollout.Counts{"r": {Tried: 3, Usual: 30}}
 		r.turn(100)
 		Expect(r.writes).To(Equal(before + 2))
 	})
--- a/io/registry/record.go
+++ b/io/registry/record.go
@@ -30,8 +30,8 @@
 	Order
 	Progress
 	Report
-	// Evidence is what one daemon has counted for a move.
-	Evidence
+	// Results is what one daemon has counted for a move.
+	Results
 )
 
 // Record is what an entry of the store says.
@@ -44,8 +44,8 @@
 	Order    rollout.Order
 	Progress rollout.Progress
 	// Text is a report as it was written.
-	Text     string
-	Evidence evidence
+	Text    string
+	Results results
 }
 
 // Member is one daemon.
@@ -83,8 +83,8 @@
 	if strings.HasPrefix(e.Key, movePrefix) {
 		return decodeMove(e, now)
 	}
-	if strings.HasPrefix(e.Key, evidencePrefix) {
-		return decodeEvidence(e)
+	if strings.HasPrefix(e.Key, resultsPrefix) {
+		return decodeResults(e)
 	}
 	name, ok := strings.CutPrefix(e.Key, memberPrefix)
 	if !ok {
--- a/io/registry/registry.go
+++ b/io/registry/registry.go
@@ -45,8 +45,8 @@
 	// Bad reports whether this daemon found the version that a service moves to worse than the one
 	// before.
 	Bad func(service string, m catalog.Move) bool
-	// Tallies returns what this daemon has counted for a move, by route.
-	Tallies func(service string, m catalog.Move) map[string]rollout.Tally
+	// Counts returns what this daemon has counted for a move, by route.
+	Counts func(service string, m catalog.Move) map[string]rollout.Counts
 	// Report returns the key and text that tell the operators of a move.
 	Report func(service string, m catalog.Move) (key, text string, err error)
 	// Self is this daemon's own entry.
@@ -94,8 +94,8 @@
 	retired clock.Milli
 	chosen  bool
 	settled bool
-	// panel judges version moves by what all daemons counted.
-	panel *rollout.Panel
+	// aggregate judges version moves by what all daemons counted.
+	aggregate *rollout.Aggregate
 	// told is when this daemon last wrote what it counted for a move, by service.
 	told map[string]clock.Milli
 	// counts are the numbers of daemons that were known, oldest first.
@@ -111,7 +111,7 @@
 // New returns a registry that knows nothing yet.
 func New(ports Ports) *Registry {
 	return &Registry{
-		ports: ports, entries: make(map[string]held), panel: rollout.NewPanel(), told: make(map[string]clock.Milli),
+		ports: ports, entries: make(map[string]held), aggregate: rollout.NewAggregate(), told: make(map[string]clock.Milli),
 		started: ports.Now(),
 	}
 }
--- a/io/registry/registry_test.go
+++ b/io/registry/registry_test.go
@@ -31,7 +31,7 @@
 	lists    int
 	stales   int
 	bad      bool
-	tallies  map[string]rollout.Tally
+	results  map[string]rollout.Counts
 	// lose is set while writes take effect and their answers are lost.
 	lose   bool
 	writes int
@@ -118,8 +118,8 @@
 		return store.Write{Done: true}, nil
 	}
 	r.Registry = registry.New(registry.Ports{
-		Bad:     func(string, catalog.Move) bool { return r.bad },
-		Tallies: func(string, catalog.Move) map[string]rollout.Tally { return r.tallies },
+		Bad:    func(string, catalog.Move) bool { return r.bad },
+		Counts: func(string, catalog.Move) map[string]rollout.Counts { return r.results },
 		Report: func(service string, m catalog.Move) (string, string, error) {
 			return "report/" + service, "report " + string(m.Stage), nil
 		},
--- a/soak/check/answers.go
+++ b/soak/check/answers.go
@@ -11,49 +11,49 @@
 )
 
 // whole checks that successes are whole answers of this request, and tell what they cover.
-func (j *judge) whole() {
-	for i := range j.Asks {
-		a := &j.Asks[i]
+func (c *checker) whole() {
+	for i := range c.Asks {
+		a := &c.Asks[i]
 		if a.status() < http.StatusOK || a.status() >= http.StatusMultipleChoices {
 			continue
 		}
 		if a.Route.Gathers() {
-			j.gathered(a)
+			c.gathered(a)
 
 			continue
 		}
 		stamp, ok := registered.ParseStamp(a.Answer.Stamp)
 		if !ok || !stamp.Good || stamp.ID != a.ID ||
 			!bytes.Equal(a.Answer.Body, registered.Body(stamp.ID, stamp.Service, stamp.Upstream)) {
-			j.breach(a.Ended, "%s: answer signed %q, %d bytes", a.ID, a.Answer.Stamp, len(a.Answer.Body))
+			c.breach(a.Ended, "%s: answer signed %q, %d bytes", a.ID, a.Answer.Stamp, len(a.Answer.Body))
 		}
 	}
 }
 
-func (j *judge) gathered(a *Ask) {
+func (c *checker) gathered(a *Ask) {
 	seen := make(map[string]bool)
 	var bodies [][]byte
 	for _, text := range a.Answer.Stamps {
 		stamp, ok := registered.ParseStamp(text)
 		if !ok || !stamp.Good || stamp.ID != a.ID || seen[stamp.Service] {
-			j.breach(a.Ended, "%s: part signed %q", a.ID, text)
+			c.breach(a.Ended, "%s: part signed %q", a.ID, text)
 
 			return
 		}
 		seen[stamp.Service] = true
 		bodies = append(bodies, registered.Body(stamp.ID, stamp.Service, stamp.Upstream))
 	}
-	for i := range j.Configs {
-		r := j.Configs[i].route(a.Route.Name)
-		if r != nil && j.Configs[i].At < a.Ended && covers(r, seen, a.Answer.Missing) {
+	for i := range c.Configs {
+		r := c.Configs[i].route(a.Route.Name)
+		if r != nil && c.Configs[i].At < a.Ended && covers(r, seen, a.Answer.Missing) {
 			if !bytes.Equal(a.Answer.Body, registered.Top(bodies, r.Top)) {
-				j.breach(a.Ended, "%s: not the greatest records of its parts", a.ID)
+				c.breach(a.Ended, "%s: not the greatest records of its parts", a.ID)
 			}
 
 			return
 		}
 	}
-	j.breach(a.Ended, "%s: %d parts and %d missing fit no configuration", a.ID, len(seen), a.Answer.Missing)
+	c.breach(a.Ended, "%s: %d parts and %d missing fit no configuration", a.ID, len(seen), a.Answer.Missing)
 }
 
 // covers reports whether parts are of a route's shards, with that many missing and enough there.
@@ -70,14 +70,14 @@
 }
 
 // once checks that a request which may run once did.
-func (j *judge) once() {
-	for id, runs := range j.runs {
-		a := j.asks[id]
+func (c *checker) once() {
+	for id, runs := range c.runs {
+		a := c.asks[id]
 		if a == nil || a.Route.Idempotent {
 			continue
 		}
 		if n := ran(runs); n > 1 {
-			j.breach(a.Sent, "%s ran %d times", id, n)
+			c.breach(a.Sent, "%s ran %d times", id, n)
 		}
 	}
 }
@@ -94,31 +94,31 @@
 }
 
 // promise checks that a request which was refused as not run did not run.
-func (j *judge) promise() {
-	for i := range j.Asks {
-		a := &j.Asks[i]
+func (c *checker) promise() {
+	for i := range c.Asks {
+		a := &c.Asks[i]
 		switch a.status() {
 		case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout,
 			http.StatusMisdirectedRequest:
-			if !a.Route.Idempotent && ran(j.runs[a.ID]) > 0 {
-				j.breach(a.Ended, "%s was refused with %d and ran", a.ID, a.status())
+			if !a.Route.Idempotent && ran(c.runs[a.ID]) > 0 {
+				c.breach(a.Ended, "%s was refused with %d and ran", a.ID, a.status())
 			}
 		}
 	}
 }
 
 // asked checks that upstreams get what callers sent.
-func (j *judge) asked() {
-	for i := range j.Runs {
-		r := &j.Runs[i]
-		a := j.asks[r.ID]
+func (c *checker) asked() {
+	for i := range c.Runs {
+		r := &c.Runs[i]
+		a := c.asks[r.ID]
 		switch {
 		case a == nil:
-			j.breach(r.Arrived, "%s was never sent", r.ID)
+			c.breach(r.Arrived, "%s was never sent", r.ID)
 		case a.Method != r.Method || a.Target != r.Target || a.Body != r.Body:
-			j.breach(r.Arrived, "%s arrived as %s %s with %d bytes", r.ID, r.Method, r.Target, len(r.Body))
+			c.breach(r.Arrived, "%s arrived as %s %s with %d bytes", r.ID, r.Method, r.Target, len(r.Body))
 		case r.Ran && r.Expected != r.Options.ID:
-			j.breach(r.Arrived, "%s for %q ran at %s", r.ID, r.Expected, r.Options.ID)
+			c.breach(r.Arrived, "%s for %q ran at %s", r.ID, r.Expected, r.Options.ID)
 		}
 	}
 }
@@ -127,18 +127,18 @@
 const leftSlack = 500 * clock.Millisecond
 
 // deadline checks that upstreams are told to give up when the caller does.
-func (j *judge) deadline() {
+func (c *checker) deadline() {
 	wrong := 0
-	for i := range j.Runs {
-		r := &j.Runs[i]
-		a := j.asks[r.ID]
-		if a == nil || !j.calmWithin(a.Daemon, a.Sent, r.Arrived) {
+	for i := range c.Runs {
+		r := &c.Runs[i]
+		a := c.asks[r.ID]
+		if a == nil || !c.calmWithin(a.Daemon, a.Sent, r.Arrived) {
 			continue
 		}
 		if r.Left <= 0 || r.Arrived+r.Left > a.Sent+a.Left+leftSlack {
 			wrong++
 			if wrong > 20 {
-				j.breach(r.Arrived, "%s: %v left at the upstream, of %v", r.ID, r.Left, a.Left)
+				c.breach(r.Arrived, "%s: %v left at the upstream, of %v", r.ID, r.Left, a.Left)
 			}
 		}
 	}
@@ -152,12 +152,12 @@
 )
 
 // gone checks that what nobody waits for any more is given up.
-func (j *judge) gone() {
+func (c *checker) gone() {
 	wrong := 0
-	for i := range j.Runs {
-		r := &j.Runs[i]
-		a := j.asks[r.ID]
-		if a == nil || !a.Gone || !j.calmWithin(a.Daemon, a.Sent, a.Ended+goneSlack) {
+	for i := range c.Runs {
+		r := &c.Runs[i]
+		a := c.asks[r.ID]
+		if a == nil || !a.Gone || !c.calmWithin(a.Daemon, a.Sent, a.Ended+goneSlack) {
 			continue
 		}
 		late := r.Arrived > a.Ended+goneSlack || (a.Route.Idempotent && r.Ended > a.Ended+goneSlack)
@@ -165,7 +165,7 @@
 			wrong++
 		}
 		if late && wrong > goneAllowed {
-			j.breach(r.Arrived, "%s: its caller left at %.0f ms, and %s worked until %.0f ms",
+			c.breach(r.Arrived, "%s: its caller left at %.0f ms, and %s worked until %.0f ms",
 				r.ID, float64(a.Ended), r.Options.ID, float64(r.Ended))
 		}
 	}
--- a/soak/check/check.go
+++ b/soak/check/check.go
@@ -18,8 +18,8 @@
 	return fmt.Sprintf("%s at %.0f ms: %s", b.Check, float64(b.At), b.Text)
 }
 
-// judge is a log with what the checks look up in it.
-type judge struct {
+// checker is a log with what the checks look up in it.
+type checker struct {
 	*Log
 	asks  map[string]*Ask
 	runs  map[string][]*registered.Run
@@ -30,24 +30,24 @@
 // checks are all promises, by name.
 var checks = []struct {
 	name string
-	run  func(*judge)
+	run  func(*checker)
 }{
-	{"whole", (*judge).whole},
-	{"once", (*judge).once},
-	{"promise", (*judge).promise},
-	{"asked", (*judge).asked},
-	{"attempts", (*judge).attempts},
-	{"budget", (*judge).budget},
-	{"deadline", (*judge).deadline},
-	{"gone", (*judge).gone},
-	{"drain", (*judge).drain},
-	{"configuration", (*judge).configuration},
-	{"trial", (*judge).trial},
-	{"stop", (*judge).stop},
-	{"directory", (*judge).directory},
-	{"ends", (*judge).ends},
-	{"recovery", (*judge).recovery},
-	{"calm", (*judge).served},
+	{"whole", (*checker).whole},
+	{"once", (*checker).once},
+	{"promise", (*checker).promise},
+	{"asked", (*checker).asked},
+	{"attempts", (*checker).attempts},
+	{"budget", (*checker).budget},
+	{"deadline", (*checker).deadline},
+	{"gone", (*checker).gone},
+	{"drain", (*checker).drain},
+	{"configuration", (*checker).configuration},
+	{"trial", (*checker).trial},
+	{"stop", (*checker).stop},
+	{"directory", (*checker).directory},
+	{"ends", (*checker).ends},
+	{"recovery", (*checker).recovery},
+	{"calm", (*checker).served},
 }
 
 // Names returns the names of all checks.
@@ -60,25 +60,25 @@
 	return names
 }
 
-// Judge returns the promises that were not kept.
-func Judge(l *Log) []Breach {
-	j := &judge{Log: l, asks: make(map[string]*Ask), runs: make(map[string][]*registered.Run)}
+// Run returns the promises that were not kept.
+func Run(l *Log) []Breach {
+	c := &checker{Log: l, asks: make(map[string]*Ask), runs: make(map[string][]*registered.Run)}
 	for i := range l.Asks {
-		j.asks[l.Asks[i].ID] = &l.Asks[i]
+		c.asks[l.Asks[i].ID] = &l.Asks[i]
 	}
 	for i := range l.Runs {
 		r := &l.Runs[i]
-		j.runs[r.ID] = append(j.runs[r.ID], r)
+		c.runs[r.ID] = append(c.runs[r.ID], r)
 	}
-	for _, c := range checks {
-		j.name = c.name
-		c.run(j)
+	for _, one := range checks {
+		c.name = one.name
+		one.run(c)
 	}
 
-	return j.found
+	return c.found
 }
 
 // breach notes that a promise was not kept.
-func (j *judge) breach(at clock.Milli, format string, values ...any) {
-	j.found = append(j.found, Breach{Check: j.name, At: at, Text: fmt.Sprintf(format, values...)})
+func (c *checker) breach(at clock.Milli, format string, values ...any) {
+	c.found = append(c.found, Breach{Check: c.name, At: at, Text: fmt.Sprintf(format, values...)})
 }
--- a/soak/check/check_test.go
+++ b/soak/check/check_test.go
@@ -212,10 +212,10 @@
 	}},
 }
 
-var _ = Describe("the judge", func() {
+var _ = Describe("the checks", func() {
 	found := func(s *story) []string {
 		var names []string
-		for _, b := range check.Judge(&s.Log) {
+		for _, b := range check.Run(&s.Log) {
 			if !slices.Contains(names, b.Check) {
 				names = append(names, b.Check)
 			}
@@ -229,7 +229,7 @@
 		for i, route := range []catalog.Route{search, look, write} {
 			many(100, 10*second, func(id string, at clock.Milli) { s.ask(fmt.Sprint(i, id), route, at) })
 		}
-		Expect(check.Judge(&s.Log)).To(BeEmpty())
+		Expect(check.Run(&s.Log)).To(BeEmpty())
 	})
 
 	for _, b := range breaks {
--- a/soak/check/daemons.go
+++ b/soak/check/daemons.go
@@ -9,14 +9,14 @@
 )
 
 // configuration checks that every daemon follows a configuration in time and never goes back.
-func (j *judge) configuration() {
-	for i := range j.Asks {
-		a := &j.Asks[i]
-		if !j.calmWithin(a.Daemon, a.Sent, a.Ended) || a.status() == 0 {
+func (c *checker) configuration() {
+	for i := range c.Asks {
+		a := &c.Asks[i]
+		if !c.calmWithin(a.Daemon, a.Sent, a.Ended) || a.status() == 0 {
 			continue
 		}
-		if !j.allowed(a) {
-			j.breach(a.Ended, "%s on %s at %s: status %d fits no configuration that may be in force",
+		if !c.allowed(a) {
+			c.breach(a.Ended, "%s on %s at %s: status %d fits no configuration that may be in force",
 				a.ID, a.Route.Name, a.Daemon, a.status())
 		}
 	}
@@ -24,14 +24,14 @@
 
 // allowed reports whether a configuration that may be in force explains the answer: one that was not
 // replaced for Apply when the request was sent.
-func (j *judge) allowed(a *Ask) bool {
-	for i := range j.Configs {
-		replaced := i+1 < len(j.Configs) && j.Configs[i+1].At+j.Bounds.Apply < a.Sent
-		if replaced || j.Configs[i].At > a.Ended {
+func (c *checker) allowed(a *Ask) bool {
+	for i := range c.Configs {
+		replaced := i+1 < len(c.Configs) && c.Configs[i+1].At+c.Bounds.Apply < a.Sent
+		if replaced || c.Configs[i].At > a.Ended {
 			continue
 		}
-		r := j.Configs[i].route(a.Route.Name)
-		if (r == nil) == (a.status() == http.StatusNotFound) && (r == nil || j.explains(a, r)) {
+		r := c.Configs[i].route(a.Route.Name)
+		if (r == nil) == (a.status() == http.StatusNotFound) && (r == nil || c.explains(a, r)) {
 			return true
 		}
 	}
@@ -40,12 +40,12 @@
 }
 
 // explains reports whether what ran the request is what a route names.
-func (j *judge) explains(a *Ask, r *catalog.Route) bool {
+func (c *checker) explains(a *Ask, r *catalog.Route) bool {
 	services := append([]string{r.Service}, r.Shards...)
 	for _, s := range r.Split {
 		services = append(services, s.Service)
 	}
-	for _, run := range j.runs[a.ID] {
+	for _, run := range c.runs[a.ID] {
 		if run.Ran && !slices.Contains(services, run.Options.Service) {
 			return false
 		}
@@ -64,24 +64,24 @@
 )
 
 // stop checks that planned stops cut no requests, and that they end well.
-func (j *judge) stop() {
+func (c *checker) stop() {
 	cut := 0
-	for i := range j.Stops {
-		s := &j.Stops[i]
+	for i := range c.Stops {
+		s := &c.Stops[i]
 		if s.Exit != 0 {
-			j.breach(s.To, "%s ended with %d", s.Daemon, s.Exit)
+			c.breach(s.To, "%s ended with %d", s.Daemon, s.Exit)
 		}
-		for k := range j.Asks {
-			a := &j.Asks[k]
+		for k := range c.Asks {
+			a := &c.Asks[k]
 			if a.Daemon != s.Daemon || a.Sent < s.From || a.Ended > s.To+stopAfter || a.Sent > s.To-stopLate ||
-				!j.calmWithin(a.Daemon, a.Sent, a.Ended) {
+				!c.calmWithin(a.Daemon, a.Sent, a.Ended) {
 				continue
 			}
-			if a.status() != 0 || a.Gone || a.Unconnected || a.Ended >= a.Sent+a.Left || len(j.runs[a.ID]) == 0 {
+			if a.status() != 0 || a.Gone || a.Unconnected || a.Ended >= a.Sent+a.Left || len(c.runs[a.ID]) == 0 {
 				continue
 			}
 			if cut++; cut > stopAllowed {
-				j.breach(a.Ended, "%s was cut by the stop of %s", a.ID, s.Daemon)
+				c.breach(a.Ended, "%s was cut by the stop of %s", a.ID, s.Daemon)
 			}
 		}
 	}
@@ -94,21 +94,21 @@
 )
 
 // directory checks that callers are not sent to daemons that are gone for long.
-func (j *judge) directory() {
+func (c *checker) directory() {
 	wrong := 0
-	for i := range j.Listings {
-		l := &j.Listings[i]
-		if !j.calm(l.Daemon, l.At) {
+	for i := range c.Listings {
+		l := &c.Listings[i]
+		if !c.calm(l.Daemon, l.At) {
 			continue
 		}
 		for _, name := range l.Daemons {
-			for k := range j.Stops {
-				s := &j.Stops[k]
-				if s.Daemon != name || l.At < s.To+j.Bounds.Contact+listedSpan || (s.Back != 0 && s.Back < l.At) {
+			for k := range c.Stops {
+				s := &c.Stops[k]
+				if s.Daemon != name || l.At < s.To+c.Bounds.Contact+listedSpan || (s.Back != 0 && s.Back < l.At) {
 					continue
 				}
 				if wrong++; wrong > listedAllowed {
-					j.breach(l.At, "%s names %s, gone since %.0f ms", l.Daemon, name, float64(s.To))
+					c.breach(l.At, "%s names %s, gone since %.0f ms", l.Daemon, name, float64(s.To))
 				}
 			}
 		}
@@ -116,9 +116,9 @@
 }
 
 // ends checks that no process ended by itself.
-func (j *judge) ends() {
-	for _, e := range j.Ends {
-		j.breach(e.From, "%s ended by itself: %s", e.Daemon, e.What)
+func (c *checker) ends() {
+	for _, e := range c.Ends {
+		c.breach(e.From, "%s ended by itself: %s", e.Daemon, e.What)
 	}
 }
 
@@ -130,35 +130,35 @@
 )
 
 // recovery checks that the system serves again once all faults are over.
-func (j *judge) recovery() {
-	good, all := j.share(func(a *Ask) bool { return a.Sent > j.Healed+j.Bounds.Recovery })
+func (c *checker) recovery() {
+	good, all := c.share(func(a *Ask) bool { return a.Sent > c.Healed+c.Bounds.Recovery })
 	if all >= countLeast && float64(good) < recoveredLeast*float64(all) {
-		j.breach(j.Healed+j.Bounds.Recovery, "%d of %d requests served after the last fault", good, all)
+		c.breach(c.Healed+c.Bounds.Recovery, "%d of %d requests served after the last fault", good, all)
 	}
 }
 
 // served checks that daemons which nothing disturbs serve what they are asked.
-func (j *judge) served() {
-	good, all := j.share(func(a *Ask) bool {
-		return j.calmWithin(a.Daemon, a.Sent, a.Ended) && !j.stopped(a) &&
-			!disturbed(j.Upsets, "", a.Sent-j.Bounds.Contact, a.Ended)
+func (c *checker) served() {
+	good, all := c.share(func(a *Ask) bool {
+		return c.calmWithin(a.Daemon, a.Sent, a.Ended) && !c.stopped(a) &&
+			!disturbed(c.Upsets, "", a.Sent-c.Bounds.Contact, a.Ended)
 	})
 	if all >= countLeast && float64(good) < calmLeast*float64(all) {
-		j.breach(0, "%d of %d requests served by undisturbed daemons", good, all)
+		c.breach(0, "%d of %d requests served by undisturbed daemons", good, all)
 	}
 }
 
 // stopped reports whether a request was sent to a daemon that was being stopped or had ended. Callers
 // that find nobody there ask others.
-func (j *judge) stopped(a *Ask) bool {
-	return slices.ContainsFunc(j.Stops, func(s Stop) bool {
+func (c *checker) stopped(a *Ask) bool {
+	return slices.ContainsFunc(c.Stops, func(s Stop) bool {
 		return s.Daemon == a.Daemon && s.From <= a.Sent && (s.Back == 0 || a.Sent < s.Back)
 	})
 }
 
-func (j *judge) share(counts func(*Ask) bool) (good, all int) {
-	for i := range j.Asks {
-		a := &j.Asks[i]
+func (c *checker) share(counts func(*Ask) bool) (good, all int) {
+	for i := range c.Asks {
+		a := &c.Asks[i]
 		if a.Gone || !counts(a) {
 			continue
 		}
--- a/soak/check/sends.go
+++ b/soak/check/sends.go
@@ -10,10 +10,10 @@
 const attemptsAllowed = 3
 
 // attempts checks that a request runs at no more upstreams of a service than its route allows.
-func (j *judge) attempts() {
+func (c *checker) attempts() {
 	over := 0
-	for id, runs := range j.runs {
-		a := j.asks[id]
+	for id, runs := range c.runs {
+		a := c.asks[id]
 		if a == nil {
 			continue
 		}
@@ -33,7 +33,7 @@
 				continue
 			}
 			if over++; over > attemptsAllowed {
-				j.breach(a.Sent, "%s ran at %d upstreams of %s, %d allowed", id, len(upstreams), service, a.Route.Attempts)
+				c.breach(a.Sent, "%s ran at %d upstreams of %s, %d allowed", id, len(upstreams), service, a.Route.Attempts)
 			}
 		}
 	}
@@ -43,12 +43,12 @@
 const windowStep = 500 * clock.Millisecond
 
 // budget checks that no more requests are sent more than once than all daemons together may.
-func (j *judge) budget() {
+func (c *checker) budget() {
 	type sends struct{ first, extra []clock.Milli }
 	services := make(map[string]*sends)
 	seen := make(map[string]bool)
-	for i := range j.Runs {
-		r := &j.Runs[i]
+	for i := range c.Runs {
+		r := &c.Runs[i]
 		s := services[r.Options.Service]
 		if s == nil {
 			s = &sends{}
@@ -63,13 +63,13 @@
 		seen[key] = true
 	}
 	for name, s := range services {
-		for from := clock.Milli(0); from < j.End; from += windowStep {
-			to := from + j.Bounds.Window
+		for from := clock.Milli(0); from < c.End; from += windowStep {
+			to := from + c.Bounds.Window
 			extra := within(s.extra, from, to)
 			// Requests of the window before count where there were more.
-			first := max(within(s.first, from, to), within(s.first, from-j.Bounds.Window, from))
-			if allowed := j.Bounds.Ratio*float64(first) + j.Bounds.Slack; float64(extra) > allowed {
-				j.breach(from, "%s: %d extra sends, %.0f allowed", name, extra, allowed)
+			first := max(within(s.first, from, to), within(s.first, from-c.Bounds.Window, from))
+			if allowed := c.Bounds.Ratio*float64(first) + c.Bounds.Slack; float64(extra) > allowed {
+				c.breach(from, "%s: %d extra sends, %.0f allowed", name, extra, allowed)
 
 				break
 			}
@@ -89,17 +89,17 @@
 }
 
 // drain checks that nothing is sent to upstreams that leave, nor to those of a zone that is taken out.
-func (j *judge) drain() {
-	for i := range j.Runs {
-		r := &j.Runs[i]
-		a := j.asks[r.ID]
+func (c *checker) drain() {
+	for i := range c.Runs {
+		r := &c.Runs[i]
+		a := c.asks[r.ID]
 		if a == nil || r.Options.ID != r.Expected {
 			continue
 		}
-		for k := range j.Outs {
-			o := &j.Outs[k]
-			if o.late(r, j.Bounds) && j.calmWithin(a.Daemon, o.At, r.Arrived) {
-				j.breach(r.Arrived, "%s reached %s, out since %.0f ms", r.ID, r.Options.ID, float64(o.At))
+		for k := range c.Outs {
+			o := &c.Outs[k]
+			if o.late(r, c.Bounds) && c.calmWithin(a.Daemon, o.At, r.Arrived) {
+				c.breach(r.Arrived, "%s reached %s, out since %.0f ms", r.ID, r.Options.ID, float64(o.At))
 			}
 		}
 	}
@@ -118,25 +118,25 @@
 const trialBad = 50
 
 // trial checks that a bad version gets few requests, and that moves end as they should.
-func (j *judge) trial() {
-	for i := range j.Moves {
-		m := &j.Moves[i]
+func (c *checker) trial() {
+	for i := range c.Moves {
+		m := &c.Moves[i]
 		if m.Bad {
-			j.exposure(m)
+			c.exposure(m)
 		}
-		if want := m.wanted(); m.Outcome != want && j.undisturbed(m.At, m.Deadline) {
-			j.breach(m.Deadline, "%s to %s ended as %q instead of %q", m.Service, m.Version, m.Outcome, want)
+		if want := m.wanted(); m.Outcome != want && c.undisturbed(m.At, m.Deadline) {
+			c.breach(m.Deadline, "%s to %s ended as %q instead of %q", m.Service, m.Version, m.Outcome, want)
 		}
 	}
 }
 
 // exposure checks that a bad version gets few requests.
-func (j *judge) exposure(m *Move) {
+func (c *checker) exposure(m *Move) {
 	var all, target, bad int
 	var found clock.Milli
-	for i := range j.Runs {
-		r := &j.Runs[i]
-		a := j.asks[r.ID]
+	for i := range c.Runs {
+		r := &c.Runs[i]
+		a := c.asks[r.ID]
 		if a == nil || r.Options.Service != m.Service || r.Arrived < m.At || r.Arrived > m.Deadline {
 			continue
 		}
@@ -145,8 +145,8 @@
 			continue
 		}
 		target++
-		if found > 0 && a.Sent > found+j.Bounds.Back && j.calmWithin(a.Daemon, m.At, r.Arrived) {
-			j.breach(r.Arrived, "%s reached the bad version %s of %s", r.ID, m.Version, m.Service)
+		if found > 0 && a.Sent > found+c.Bounds.Back && c.calmWithin(a.Daemon, m.At, r.Arrived) {
+			c.breach(r.Arrived, "%s reached the bad version %s of %s", r.ID, m.Version, m.Service)
 		}
 		if !r.Good {
 			bad++
@@ -155,8 +155,8 @@
 			found = r.Ended
 		}
 	}
-	if float64(target) > j.Bounds.Trial*float64(all)+float64(j.Bounds.TrialSlack) {
-		j.breach(m.At, "%s: %d of %d requests at the bad version", m.Service, target, all)
+	if float64(target) > c.Bounds.Trial*float64(all)+float64(c.Bounds.TrialSlack) {
+		c.breach(m.At, "%s: %d of %d requests at the bad version", m.Service, target, all)
 	}
 }
 
@@ -170,8 +170,8 @@
 }
 
 // undisturbed reports whether nothing was wrong anywhere between two instants.
-func (j *judge) undisturbed(from, to clock.Milli) bool {
-	for _, list := range [][]Trouble{j.Troubles, j.Upsets} {
+func (c *checker) undisturbed(from, to clock.Milli) bool {
+	for _, list := range [][]Trouble{c.Troubles, c.Upsets} {
 		for i := range list {
 			if list[i].From <= to && from < list[i].To {
 				return false
--- a/soak/main.go
+++ b/soak/main.go
@@ -151,7 +151,7 @@
 	if err != nil {
 		return fmt.Sprintf("seed %d: %v\n", seed, err), false
 	}
-	breaches := check.Judge(l)
+	breaches := check.Run(l)
 	text := check.Summary(seed, l)
 	for _, b := range breaches {
 		text += "  " + b.String() + "\n"
