--- a/soak/check/answers.go
+++ b/soak/check/answers.go
@@ -25,7 +25,7 @@
 		stamp, ok := registered.ParseStamp(a.Answer.Stamp)
 		if !ok || !stamp.Good || stamp.ID != a.ID ||
 			!bytes.Equal(a.Answer.Body, registered.Body(stamp.ID, stamp.Service, stamp.Upstream)) {
-			c.breach(a.Ended, "%s: answer signed %q, %d bytes", a.ID, a.Answer.Stamp, len(a.Answer.Body))
+			c.violate(a.Ended, "%s: answer signed %q, %d bytes", a.ID, a.Answer.Stamp, len(a.Answer.Body))
 		}
 	}
 }
@@ -36,7 +36,7 @@
 	for _, text := range a.Answer.Stamps {
 		stamp, ok := registered.ParseStamp(text)
 		if !ok || !stamp.Good || stamp.ID != a.ID || seen[stamp.Service] {
-			c.breach(a.Ended, "%s: part signed %q", a.ID, text)
+			c.violate(a.Ended, "%s: part signed %q", a.ID, text)
 
 			return
 		}
@@ -47,13 +47,13 @@
 		r := c.Configs[i].route(a.Route.Name)
 		if r != nil && c.Configs[i].At < a.Ended && covers(r, seen, a.Answer.Missing) {
 			if !bytes.Equal(a.Answer.Body, registered.Top(bodies, r.Top)) {
-				c.breach(a.Ended, "%s: not the greatest records of its parts", a.ID)
+				c.violate(a.Ended, "%s: not the greatest records of its parts", a.ID)
 			}
 
 			return
 		}
 	}
-	c.breach(a.Ended, "%s: %d parts and %d missing fit no configuration", a.ID, len(seen), a.Answer.Missing)
+	c.violate(a.Ended, "%s: %d parts and %d missing fit no configuration", a.ID, len(seen), a.Answer.Missing)
 }
 
 // covers reports whether parts are of a route's shards, with that many missing and enough there.
@@ -77,7 +77,7 @@
 			continue
 		}
 		if n := ran(runs); n > 1 {
-			c.breach(a.Sent, "%s ran %d times", id, n)
+			c.violate(a.Sent, "%s ran %d times", id, n)
 		}
 	}
 }
@@ -93,15 +93,15 @@
 	return n
 }
 
-// promise checks that a request which was refused as not run did not run.
-func (c *checker) promise() {
+// refusal checks that a request which was refused as not run did not run.
+func (c *checker) refusal() {
 	for i := range c.Asks {
 		a := &c.Asks[i]
 		switch a.status() {
 		case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout,
 			http.StatusMisdirectedRequest:
 			if !a.Route.Idempotent && ran(c.runs[a.ID]) > 0 {
-				c.breach(a.Ended, "%s was refused with %d and ran", a.ID, a.status())
+				c.violate(a.Ended, "%s was refused with %d and ran", a.ID, a.status())
 			}
 		}
 	}
@@ -114,11 +114,11 @@
 		a := c.asks[r.ID]
 		switch {
 		case a == nil:
-			c.breach(r.Arrived, "%s was never sent", r.ID)
+			c.violate(r.Arrived, "%s was never sent", r.ID)
 		case a.Method != r.Method || a.Target != r.Target || a.Body != r.Body:
-			c.breach(r.Arrived, "%s arrived as %s %s with %d bytes", r.ID, r.Method, r.Target, len(r.Body))
+			c.violate(r.Arrived, "%s arrived as %s %s with %d bytes", r.ID, r.Method, r.Target, len(r.Body))
 		case r.Ran && r.Expected != r.Options.ID:
-			c.breach(r.Arrived, "%s for %q ran at %s", r.ID, r.Expected, r.Options.ID)
+			c.violate(r.Arrived, "%s for %q ran at %s", r.ID, r.Expected, r.Options.ID)
 		}
 	}
 }
@@ -138,7 +138,7 @@
 		if r.Left <= 0 || r.Arrived+r.Left > a.Sent+a.Left+leftSlack {
 			wrong++
 			if wrong > 20 {
-				c.breach(r.Arrived, "%s: %v left at the upstream, of %v", r.ID, r.Left, a.Left)
+				c.violate(r.Arrived, "%s: %v left at the upstream, of %v", r.ID, r.Left, a.Left)
 			}
 		}
 	}
@@ -165,7 +165,7 @@
 			wrong++
 		}
 		if late && wrong > goneAllowed {
-			c.breach(r.Arrived, "%s: its caller left at %.0f ms, and %s worked until %.0f ms",
+			c.violate(r.Arrived, "%s: its caller left at %.0f ms, and %s worked until %.0f ms",
 				r.ID, float64(a.Ended), r.Options.ID, float64(r.Ended))
 		}
 	}
--- a/soak/check/check.go
+++ b/soak/check/check.go
@@ -7,14 +7,14 @@
 	"jacinthferry/standin/registered"
 )
 
-// Breach is a promise that was not kept.
-type Breach struct {
+// Violation is something that must not happen and did.
+type Violation struct {
 	Check string
 	At    clock.Milli
 	Text  string
 }
 
-func (b Breach) String() string {
+func (b Violation) String() string {
 	return fmt.Sprintf("%s at %.0f ms: %s", b.Check, float64(b.At), b.Text)
 }
 
@@ -23,18 +23,18 @@
 	*Log
 	asks  map[string]*Ask
 	runs  map[string][]*registered.Run
-	found []Breach
+	found []Violation
 	name  string
 }
 
-// checks are all promises, by name.
+// checks are all checks, by name.
 var checks = []struct {
 	name string
 	run  func(*checker)
 }{
 	{"whole", (*checker).whole},
 	{"once", (*checker).once},
-	{"promise", (*checker).promise},
+	{"refusal", (*checker).refusal},
 	{"asked", (*checker).asked},
 	{"attempts", (*checker).attempts},
 	{"budget", (*checker).budget},
@@ -50,18 +50,8 @@
 	{"calm", (*checker).served},
 }
 
-// Names returns the names of all checks.
-func Names() []string {
-	var names []string
-	for _, c := range checks {
-		names = append(names, c.name)
-	}
-
-	return names
-}
-
-// Run returns the promises that were not kept.
-func Run(l *Log) []Breach {
+// Run returns what must not have happened.
+func Run(l *Log) []Violation {
 	c := &checker{Log: l, asks: make(map[string]*Ask), runs: make(map[string][]*registered.Run)}
 	for i := range l.Asks {
 		c.asks[l.Asks[i].ID] = &l.Asks[i]
@@ -78,7 +68,7 @@
 	return c.found
 }
 
-// breach notes that a promise was not kept.
-func (c *checker) breach(at clock.Milli, format string, values ...any) {
-	c.found = append(c.found, Breach{Check: c.name, At: at, Text: fmt.Sprintf(format, values...)})
+// violate notes that a check failed.
+func (c *checker) violate(at clock.Milli, format string, values ...any) {
+	c.found = append(c.found, Violation{Check: c.name, At: at, Text: fmt.Sprintf(format, values...)})
 }
--- a/soak/check/check_test.go
+++ b/soak/check/check_test.go
@@ -83,7 +83,7 @@
 	}
 }
 
-// breaks are the ways in which promises are broken, each with the check that has to see it.
+// breaks are things that must not happen, each with the check that has to see it.
 var breaks = []struct {
 	check, what string
 	tell        func(*story)
@@ -115,7 +115,7 @@
 		s.ask("r", write, 0)
 		s.run("r", "orders", "orders2", 50)
 	}},
-	{"promise", "a request that ran is refused as not run", func(s *story) { s.ask("r", write, 0).Answer.Status = 503 }},
+	{"refusal", "a request that ran is refused as not run", func(s *story) { s.ask("r", write, 0).Answer.Status = 503 }},
 	{"asked", "a request that nobody sent", func(s *story) { s.run("r", "orders", "orders1", 0) }},
 	{"asked", "a target that changed on the way", func(s *story) {
 		s.ask("r", look, 0)
@@ -240,7 +240,7 @@
 		})
 	}
 
-	It("has a way to break each promise", func() {
+	It("has a case for each check", func() {
 		for _, name := range check.Names() {
 			Expect(slices.ContainsFunc(breaks, func(b struct {
 				check, what string
--- a/soak/check/daemons.go
+++ b/soak/check/daemons.go
@@ -16,7 +16,7 @@
 			continue
 		}
 		if !c.allowed(a) {
-			c.breach(a.Ended, "%s on %s at %s: status %d fits no configuration that may be in force",
+			c.violate(a.Ended, "%s on %s at %s: status %d fits no configuration that may be in force",
 				a.ID, a.Route.Name, a.Daemon, a.status())
 		}
 	}
@@ -69,7 +69,7 @@
 	for i := range c.Stops {
 		s := &c.Stops[i]
 		if s.Exit != 0 {
-			c.breach(s.To, "%s ended with %d", s.Daemon, s.Exit)
+			c.violate(s.To, "%s ended with %d", s.Daemon, s.Exit)
 		}
 		for k := range c.Asks {
 			a := &c.Asks[k]
@@ -81,7 +81,7 @@
 				continue
 			}
 			if cut++; cut > stopAllowed {
-				c.breach(a.Ended, "%s was cut by the stop of %s", a.ID, s.Daemon)
+				c.violate(a.Ended, "%s was cut by the stop of %s", a.ID, s.Daemon)
 			}
 		}
 	}
@@ -101,24 +101,27 @@
 		if !c.calm(l.Daemon, l.At) {
 			continue
 		}
-		for _, name := range l.Daemons {
-			for k := range c.Stops {
-				s := &c.Stops[k]
-				if s.Daemon != name || l.At < s.To+c.Bounds.Contact+listedSpan || (s.Back != 0 && s.Back < l.At) {
-					continue
-				}
-				if wrong++; wrong > listedAllowed {
-					c.breach(l.At, "%s names %s, gone since %.0f ms", l.Daemon, name, float64(s.To))
-				}
+		for k := range c.Stops {
+			s := &c.Stops[k]
+			if !slices.Contains(l.Daemons, s.Daemon) || !s.over(l.At-c.Bounds.Contact-listedSpan, l.At) {
+				continue
+			}
+			if wrong++; wrong > listedAllowed {
+				c.violate(l.At, "%s names %s, gone since %.0f ms", l.Daemon, s.Daemon, float64(s.To))
 			}
 		}
 	}
 }
 
+// over reports whether the daemon had ended by an instant and was not back by a later one.
+func (s *Stop) over(by, later clock.Milli) bool {
+	return s.To <= by && (s.Back == 0 || s.Back >= later)
+}
+
 // ends checks that no process ended by itself.
 func (c *checker) ends() {
 	for _, e := range c.Ends {
-		c.breach(e.From, "%s ended by itself: %s", e.Daemon, e.What)
+		c.violate(e.From, "%s ended by itself: %s", e.Daemon, e.What)
 	}
 }
 
@@ -133,7 +136,7 @@
 func (c *checker) recovery() {
 	good, all := c.share(func(a *Ask) bool { return a.Sent > c.Healed+c.Bounds.Recovery })
 	if all >= countLeast && float64(good) < recoveredLeast*float64(all) {
-		c.breach(c.Healed+c.Bounds.Recovery, "%d of %d requests served after the last fault", good, all)
+		c.violate(c.Healed+c.Bounds.Recovery, "%d of %d requests served after the last fault", good, all)
 	}
 }
 
@@ -144,7 +147,7 @@
 			!disturbed(c.Upsets, "", a.Sent-c.Bounds.Contact, a.Ended)
 	})
 	if all >= countLeast && float64(good) < calmLeast*float64(all) {
-		c.breach(0, "%d of %d requests served by undisturbed daemons", good, all)
+		c.violate(0, "%d of %d requests served by undisturbed daemons", good, all)
 	}
 }
 
--- a/soak/check/log.go
+++ b/soak/check/log.go
@@ -122,7 +122,7 @@
 	End    clock.Milli
 }
 
-// Bounds are the times and shares that the system promises.
+// Bounds are the times and shares that the system is held to.
 type Bounds struct {
 	// Contact is for how long a daemon must have been undisturbed before it is held to bounds in time.
 	Contact  clock.Milli
--- a/soak/check/sends.go
+++ b/soak/check/sends.go
@@ -33,7 +33,7 @@
 				continue
 			}
 			if over++; over > attemptsAllowed {
-				c.breach(a.Sent, "%s ran at %d upstreams of %s, %d allowed", id, len(upstreams), service, a.Route.Attempts)
+				c.violate(a.Sent, "%s ran at %d upstreams of %s, %d allowed", id, len(upstreams), service, a.Route.Attempts)
 			}
 		}
 	}
@@ -69,7 +69,7 @@
 			// Requests of the window before count where there were more.
 			first := max(within(s.first, from, to), within(s.first, from-c.Bounds.Window, from))
 			if allowed := c.Bounds.Ratio*float64(first) + c.Bounds.Slack; float64(extra) > allowed {
-				c.breach(from, "%s: %d extra sends, %.0f allowed", name, extra, allowed)
+				c.violate(from, "%s: %d extra sends, %.0f allowed", name, extra, allowed)
 
 				break
 			}
@@ -99,7 +99,7 @@
 		for k := range c.Outs {
 			o := &c.Outs[k]
 			if o.late(r, c.Bounds) && c.calmWithin(a.Daemon, o.At, r.Arrived) {
-				c.breach(r.Arrived, "%s reached %s, out since %.0f ms", r.ID, r.Options.ID, float64(o.At))
+				c.violate(r.Arrived, "%s reached %s, out since %.0f ms", r.ID, r.Options.ID, float64(o.At))
 			}
 		}
 	}
@@ -125,7 +125,7 @@
 			c.exposure(m)
 		}
 		if want := m.wanted(); m.Outcome != want && c.undisturbed(m.At, m.Deadline) {
-			c.breach(m.Deadline, "%s to %s ended as %q instead of %q", m.Service, m.Version, m.Outcome, want)
+			c.violate(m.Deadline, "%s to %s ended as %q instead of %q", m.Service, m.Version, m.Outcome, want)
 		}
 	}
 }
@@ -146,7 +146,7 @@
 		}
 		target++
 		if found > 0 && a.Sent > found+c.Bounds.Back && c.calmWithin(a.Daemon, m.At, r.Arrived) {
-			c.breach(r.Arrived, "%s reached the bad version %s of %s", r.ID, m.Version, m.Service)
+			c.violate(r.Arrived, "%s reached the bad version %s of %s", r.ID, m.Version, m.Service)
 		}
 		if !r.Good {
 			bad++
@@ -156,7 +156,7 @@
 		}
 	}
 	if float64(target) > c.Bounds.Trial*float64(all)+float64(c.Bounds.TrialSlack) {
-		c.breach(m.At, "%s: %d of %d requests at the bad version", m.Service, target, all)
+		c.violate(m.At, "%s: %d of %d requests at the bad version", m.Service, target, all)
 	}
 }
 
--- a/soak/main.go
+++ b/soak/main.go
@@ -24,8 +24,8 @@
 	"jacinthferry/soak/world"
 )
 
-// ErrBreach is returned when a promise was not kept.
-var ErrBreach = errors.New("soak: promises were not kept")
+// ErrViolation is returned when a check failed.
+var ErrViolation = errors.New("soak: checks failed")
 
 func main() {
 	root := &cli.Command{
@@ -97,7 +97,7 @@
 	close(seeds)
 	all.Wait()
 	if failed > 0 {
-		return errors.Wrapf(ErrBreach, "%d seeds, see %s", failed, out)
+		return errors.Wrapf(ErrViolation, "%d seeds, see %s", failed, out)
 	}
 
 	return nil
@@ -151,11 +151,11 @@
 	if err != nil {
 		return fmt.Sprintf("seed %d: %v\n", seed, err), false
 	}
-	breaches := check.Run(l)
+	violations := check.Run(l)
 	text := check.Summary(seed, l)
-	for _, b := range breaches {
+	for _, b := range violations {
 		text += "  " + b.String() + "\n"
 	}
 
-	return text, len(breaches) == 0
+	return text, len(violations) == 0
 }
--- a/soak/world/world.go
+++ b/soak/world/world.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -54,7 +53,6 @@
 	options Options
 	now     func() clock.Milli
 	began   clock.Milli
-	random  *rand.Rand
 	// port is the last one that was tried for a daemon.
 	port         int
 	state        *standin.Store
@@ -73,7 +71,7 @@
 
 // Run plays a plan and returns what callers and upstreams saw.
 func Run(ctx context.Context, o Options, plan []Step) (*check.Log, error) {
-	w := &World{options: o, random: rand.New(rand.NewPCG(o.Seed, 1)), services: make(map[string]*service)}
+	w := &World{options: o, services: make(map[string]*service)}
 	absolute := timer.New()
 	w.began = absolute()
 	w.now = func() clock.Milli { return absolute() - w.began }
--- a/standin/registered/answer.go
+++ b/standin/registered/answer.go
@@ -6,30 +6,30 @@
 	"slices"
 	"strconv"
 	"strings"
-)
 
-// RecordSize is the size of a record of an answer in bytes.
-const RecordSize = 16
+	"jacinthferry/core/gather"
+)
 
 // records is how many records an answer has.
 const records = 6
 
 // Body returns the answer of an upstream to a request: records that depend on both.
 func Body(id, service, upstream string) []byte {
-	body := make([]byte, 0, records*RecordSize)
+	body := make([]byte, 0, records*gather.RecordSize)
 	for i := range records {
 		sum := sha256.Sum256([]byte(strings.Join([]string{id, service, upstream, strconv.Itoa(i)}, "\n")))
-		body = append(body, sum[:RecordSize]...)
+		body = append(body, sum[:gather.RecordSize]...)
 	}
 
 	return body
 }
 
-// Top returns the greatest records of several answers, falling.
+// Top returns the greatest records of several answers, falling. It is written apart from the daemons'
+// way of merging, to check them by.
 func Top(bodies [][]byte, count int) []byte {
 	var all [][]byte
 	for _, body := range bodies {
-		for r := range slices.Chunk(body, RecordSize) {
+		for r := range slices.Chunk(body, gather.RecordSize) {
 			all = append(all, r)
 		}
 	}
