Say why a daemon is not ready while it takes upstreams over

One whole run of the checks, alone, was red once: docs/api.md's example of /readyz got 503 with "no configuration yet" right after the examples that take a zone out and bring it back. Trace: a daemon is not ready for 20 to 140 ms after each of 20 such changes, while upstreams move to it, as it is meant to be; the reason that it gave was wrong. 14 runs of that spec alone did not show it. The answer names the reason now (a spec saw the wrong one), and each example of the page is tried on a deployment that is ready, once, as before.

--- a/io/daemon/operators.go
+++ b/io/daemon/operators.go
@@ -29,11 +29,14 @@
 
 // ready reports whether the daemon takes callers, and why not.
 func (d *Daemon) ready() (bool, string) {
-	if !d.Ready() {
+	switch {
+	case d.table.Load() == nil:
 		return false, "no configuration yet: the store and the other daemons gave none"
+	case !d.Ready():
+		return false, "taking upstreams over from other daemons"
+	default:
+		return true, ""
 	}
-
-	return true, ""
 }
 
 func (d *Daemon) operators() operator.Daemon {
--- a/io/daemon/page_test.go
+++ b/io/daemon/page_test.go
@@ -119,6 +119,8 @@
 			if e[2] != "" {
 				method = http.MethodPost
 			}
+			// A daemon is not ready for a moment while it takes upstreams over, as after a zone's change.
+			Expect(d.AwaitReady()).To(Succeed())
 			request, err := http.NewRequestWithContext(ctx, method, "http://"+strings.Trim(fill.Replace(e[1]), `"`), strings.NewReader(fill.Replace(e[2])))
 			Expect(err).NotTo(HaveOccurred())
 			request.Header.Set("Content-Type", "application/json")
