--- a/io/daemon/query_test.go
+++ b/io/daemon/query_test.go
@@ -157,18 +157,25 @@
 
 			return []route.Held{h}
 		}
+		answeredFrom := func(name string) {
+			GinkgoHelper()
+			Eventually(func() string {
+				reply, _ := ask(ctx, d.Daemons[0], "cairn", 2*clock.Second, false)
+				if reply.Snapshot == name {
+					replies.Store("first from "+name, reply)
+				}
+
+				return reply.Snapshot
+			}).WithTimeout(patience).Should(Equal(name))
+		}
+		answeredFrom("markers-2026-12-01")
 		for o := 2; o <= 3; o++ {
 			for i, u := range d.Upstreams {
 				u.Hold(held(o, i)...)
 				time.Sleep(50 * time.Millisecond)
 			}
-			time.Sleep(500 * time.Millisecond)
+			answeredFrom(fmt.Sprintf("markers-2026-12-0%d", o))
 		}
-		Eventually(func() string {
-			reply, _ := ask(ctx, d.Daemons[0], "cairn", 2*clock.Second, false)
-
-			return reply.Snapshot
-		}).WithTimeout(patience).Should(Equal("markers-2026-12-03"))
 		close(stop)
 		group.Wait()
 		seen := make(map[string]int)
