Refuse at once what would wait long for slots

Cause: at four and eight times the usual load nothing is refused. Upstreams' queues (14 places each) fill until every answer is late, and late legs are sent a second time into the same queues.

Change: upstreams report how many requests wait. From the last report, its age and what was sent since, core/balance works out the wait for a slot; a query whose answer would have to wait more than a quarter of the objective is refused before it is sent, as not run and with a time to come back. A second leg is not sent to where it would wait.

Bounds: half of the capacity in time, one in a hundred failed.

Left: less urgent requests are let in more often than urgent ones, and callers that come back are refused again as often as new ones.

--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -10,6 +10,9 @@
 const (
 	// gain is the weight of a new sample in the moving averages.
 	gain = 0.3
+	// workGain is the same for the average of the time without a wait. Pauses and requests of several
+	// kinds scatter it.
+	workGain = 0.1
 	// fade is the time after which an average without a new sample counts for half, so that an
 	// upstream that was slow once is tried again.
 	fade = 2 * clock.Second
@@ -21,6 +24,8 @@
 	farWeight = 4
 	// reportAge is how long a reported load counts.
 	reportAge = 200 * clock.Millisecond
+	// waitAge is how long a report of waiting requests counts.
+	waitAge = clock.Second
 	// suspectFactor is how many times its expected latency the oldest request in flight may be old
 	// before new requests avoid the upstream, and suspectFloor the least such age.
 	suspectFactor = 3
@@ -54,6 +59,9 @@
 	at       clock.Milli
 	load     Load
 	loadAt   clock.Milli
+	// work is how long the upstream takes for a request that does not wait for a slot, or 0 while
+	// nothing is known.
+	work clock.Milli
 	// warm is when a cold start ends, and the bucket holds what the cold upstream still bears.
 	warm   clock.Milli
 	tokens float64
@@ -161,6 +169,7 @@
 	s.failures -= gain * s.failures
 	if load != nil {
 		s.load, s.loadAt = *load, now
+		s.learnWork((now - sent - held) / clock.Milli(1+float64(load.Waiting)/float64(max(1, load.Slots))))
 	}
 }
 
@@ -233,6 +242,20 @@
 	return f.state(now, u).expected(now)
 }
 
+// Wait returns how long one more request is expected to wait for a slot at the upstream, or 0 when its
+// last report says that none waits or is too old. Other daemons are taken to have sent as much since
+// then as this one.
+func (f *Fleet) Wait(now clock.Milli, u *catalog.Upstream) clock.Milli {
+	s := f.states[u.Key()]
+	if s == nil || s.load.Waiting == 0 || now-s.loadAt > waitAge {
+		return 0
+	}
+	queue := s.load.Waiting + f.daemons()*s.sentSince(s.loadAt)
+	wait := s.work * clock.Milli(queue) / clock.Milli(max(1, s.load.Slots))
+
+	return max(0, wait-(now-s.loadAt))
+}
+
 func (f *Fleet) state(now clock.Milli, u *catalog.Upstream) *state {
 	s := f.states[u.Key()]
 	if s == nil {
@@ -279,6 +302,23 @@
 	s.at = now
 }
 
+// sentSince is how many of the requests in flight were sent after an instant.
+func (s *state) sentSince(at clock.Milli) int {
+	n := 0
+	for i := len(s.sent) - 1; i >= 0 && s.sent[i] > at; i-- {
+		n++
+	}
+
+	return n
+}
+
+func (s *state) learnWork(work clock.Milli) {
+	if s.work == 0 {
+		s.work = work
+	}
+	s.work += workGain * (work - s.work)
+}
+
 // weight is how much the averages still count.
 func (s *state) weight(now clock.Milli) float64 { return float64(fade / (fade + max(0, now-s.at))) }
 
--- a/core/balance/balance_test.go
+++ b/core/balance/balance_test.go
@@ -131,3 +131,39 @@
 		Expect(total).To(BeNumerically(">", rate/2))
 	})
 })
+
+var _ = Describe("The wait for a slot", func() {
+	busy := &balance.Load{Running: 2, Waiting: 6, Slots: 2}
+
+	It("follows from the last report and shrinks with its age", func() {
+		f := newFleet(7)
+		Expect(f.Wait(start, near)).To(BeZero())
+		f.Sent(start, service, near)
+		// Four rounds in 40 ms are 10 ms a request; three wait before a new one.
+		f.Answered(start+40, start, 0, near, busy)
+		Expect(f.Wait(start+40, near)).To(BeNumerically("~", 30))
+		Expect(f.Wait(start+50, near)).To(BeNumerically("~", 20))
+		Expect(f.Wait(start+80, near)).To(BeZero())
+	})
+
+	It("counts what was sent since, by all daemons alike", func() {
+		f := newFleet(7)
+		f.Sent(start, service, near)
+		f.Answered(start+40, start, 0, near, busy)
+		f.Sent(start+41, service, near)
+		Expect(f.Wait(start+41, near)).To(BeNumerically("~", 30+35-1))
+	})
+
+	It("is none where the last report says that none waits, or is old", func() {
+		f := newFleet(7)
+		f.Sent(start, service, near)
+		f.Answered(start+400, start, 0, near, &balance.Load{Running: 2, Slots: 2})
+		f.Sent(start+401, service, near)
+		Expect(f.Wait(start+402, near)).To(BeZero())
+		f.Sent(start+402, service, near)
+		f.Answered(start+4000, start+401, 0, near, nil)
+		f.Answered(start+4000, start+402, 0, near, busy)
+		Expect(f.Wait(start+4900, near)).NotTo(BeZero())
+		Expect(f.Wait(start+5001, near)).To(BeZero())
+	})
+})
--- a/core/gather/legs.go
+++ b/core/gather/legs.go
@@ -141,7 +141,7 @@
 		}
 		s.due = now + busyWait
 		u := q.choose(now, i)
-		if u == nil || q.desk.fleet.Suspect(now, u) || now+q.desk.fleet.Expected(now, u) > q.end() {
+		if u == nil || !q.mayHelp(now, u) {
 			continue
 		}
 		if q.pay(now, i) {
@@ -150,6 +150,14 @@
 	}
 }
 
+// mayHelp reports whether a second leg to the upstream may be answered before the first one. Where
+// requests wait for a slot it would only make the queue longer.
+func (q *Query) mayHelp(now clock.Milli, u *catalog.Upstream) bool {
+	f := q.desk.fleet
+
+	return !f.Suspect(now, u) && now+f.Expected(now, u) <= q.end() && f.Wait(now, u) <= secondPart*q.patience
+}
+
 // lateAt returns when the leg that a shard is sent now is late. Only one second leg is sent, and
 // none of a request that may run once.
 func (q *Query) lateAt(now clock.Milli, s *shard) clock.Milli {
--- a/core/gather/query_test.go
+++ b/core/gather/query_test.go
@@ -391,3 +391,50 @@
 		}
 	})
 })
+
+var _ = Describe("A query whose upstreams have long queues", func() {
+	// crowd lets upstreams of the first shards report that requests wait.
+	crowd := func(d *desk, shards int) {
+		for i := range shards {
+			service := d.view.Config.Services[fmt.Sprintf("shard%d", i)]
+			for _, u := range d.view.Usable(service.Name) {
+				d.fleet.Sent(start-100, service, u)
+				d.fleet.Answered(start-1, start-100, 0, u, &balance.Load{Running: 2, Waiting: 8, Slots: 2})
+			}
+		}
+	}
+
+	It("is refused at once as not run, and told when to come back", func() {
+		d := newDesk(20, 2, lookup)
+		crowd(d, 3)
+		_, actions := d.begin(start)
+		Expect(kinds(actions, gather.Send)).To(BeEmpty())
+		end := kinds(actions, gather.Finish)
+		Expect(end).To(HaveLen(1))
+		Expect(*end[0].Outcome.Refusal).To(Equal(reason.Refusal{Reason: reason.Overload, Run: reason.No}))
+		Expect(end[0].Outcome.Retry).To(BeNumerically(">", 0))
+		Expect(end[0].Outcome.Retry).To(BeNumerically("<=", 800.0/3))
+	})
+
+	It("is sent when its answer can do without the shards that have them", func() {
+		d := newDesk(20, 2, lookup)
+		crowd(d, 2)
+		_, actions := d.begin(start)
+		Expect(kinds(actions, gather.Send)).To(HaveLen(20))
+	})
+
+	It("sends no second leg to where it would wait", func() {
+		d := newDesk(2, 2, lookup)
+		q, sends := d.begin(start)
+		second := d.view.Usable("shard0")[0]
+		if second == sends[0].Upstream {
+			second = d.view.Usable("shard0")[1]
+		}
+		service := d.view.Config.Services["shard0"]
+		d.fleet.Sent(start, service, second)
+		d.fleet.Answered(start+59, start, 0, second, &balance.Load{Running: 2, Waiting: 8, Slots: 2})
+		late := kinds(q.Due(start+60), gather.Send)
+		Expect(late).To(HaveLen(1))
+		Expect(late[0].Service.Name).To(Equal("shard1"))
+	})
+})
--- a/core/gather/world_test.go
+++ b/core/gather/world_test.go
@@ -48,6 +48,8 @@
 	slowTimes              float64
 	// lost is the share of answers that half of the upstreams lose from lossFrom to lossTo.
 	lost float64
+	// reports is set when servers say with each answer how loaded they are.
+	reports bool
 	// inTime is the share of queries that are answered within the objective at least, and whole the
 	// share of the shards that their answers cover at least.
 	inTime, whole float64
@@ -66,6 +68,7 @@
 const (
 	worldShards  = 20
 	worldDaemons = 7
+	serverSlots  = 2
 	worldSpan    = 20 * clock.Second
 	workMean     = 13 * clock.Millisecond
 	pauseSpan    = 150 * clock.Millisecond
@@ -73,6 +76,10 @@
 	wayMean      = 0.5 * clock.Millisecond
 	lossFrom     = start + 10*clock.Second
 	lossTo       = lossFrom + 4*clock.Second
+	// worldRate is how many queries a second the servers bear: each has two slots, and stands still for
+	// a part of the time.
+	worldRate = 2 * serverSlots * float64(clock.Second/workMean) * (1 - float64(pauseSpan/pauseEvery))
+	crowdRate = 90
 )
 
 // world plays a load against the desks of several daemons in virtual time.
@@ -90,6 +97,8 @@
 	covered                        float64
 	// lossAsked and lossInTime count the queries that come while answers are lost.
 	lossAsked, lossInTime int
+	// crowd counts the queries that come during a burst.
+	crowd struct{ asked, inTime, late, refused, failed int }
 }
 
 func (w *world) after(span clock.Milli, do func()) { heap.Push(&w.agenda, happening{w.now + span, do}) }
@@ -105,7 +114,7 @@
 	}
 	for i := range worldShards {
 		for r := range 2 {
-			s := &server{slots: 2, limit: 14, times: 1, dead: w.random.Float64() < l.dead, mute: w.random.Float64() < l.mute}
+			s := &server{slots: serverSlots, limit: 14, times: 1, dead: w.random.Float64() < l.dead, mute: w.random.Float64() < l.mute}
 			s.lossy = l.lost > 0 && w.random.Float64() < 0.5
 			if w.random.Float64() < l.slow {
 				s.times = l.slowTimes
@@ -118,6 +127,11 @@
 	return w
 }
 
+// report is what a server says of its load.
+func (s *server) report() *balance.Load {
+	return &balance.Load{Running: serverSlots - s.slots, Waiting: len(s.queue), Slots: serverSlots}
+}
+
 func (w *world) pauses(s *server, in clock.Milli) {
 	w.after(in, func() {
 		s.pausedUntil = w.now + pauseSpan
@@ -128,7 +142,7 @@
 // arrive lets queries come, by a Poisson process.
 func (w *world) arrive() {
 	rate := w.load.perSecond
-	if w.load.burst > 0 && w.now >= start+5*clock.Second && w.now < start+8*clock.Second {
+	if w.crowded(w.now) {
 		rate *= w.load.burst
 	}
 	w.after(clock.Milli(-math.Log(1-w.random.Float64())/rate)*clock.Second, func() {
@@ -139,45 +153,100 @@
 	})
 }
 
+// crowded reports whether there is a burst at an instant.
+func (w *world) crowded(now clock.Milli) bool {
+	return w.load.burst > 0 && now >= start+5*clock.Second && now < start+8*clock.Second
+}
+
+// visit is one try of a caller.
+type visit struct {
+	query *gather.Query
+	// began is when the caller asked first, and arrived when this try came.
+	began, arrived clock.Milli
+	again          bool
+	// seen holds the services that legs of this try reached.
+	seen map[string]bool
+}
+
 func (w *world) ask() {
 	w.asked++
-	began := w.now
-	if losing(began) {
+	if losing(w.now) {
 		w.lossAsked++
 	}
-	q, actions := w.desks[w.random.IntN(worldDaemons)].Begin(w.now, w.view, w.route, gather.Request{
-		ID: "r", Arrived: began, Began: began, Deadline: began + w.route.Timeout,
+	if w.crowded(w.now) {
+		w.crowd.asked++
+	}
+	w.come(&visit{began: w.now, arrived: w.now, seen: map[string]bool{}})
+}
+
+// come brings a caller to one of the daemons.
+func (w *world) come(v *visit) {
+	query, actions := w.desks[w.random.IntN(worldDaemons)].Begin(w.now, w.view, w.route, gather.Request{
+		ID: "r", Arrived: w.now, Began: v.began, Deadline: v.began + w.route.Timeout,
 	})
-	w.carryOut(q, began, map[string]bool{}, actions)
+	v.query = query
+	w.carryOut(v, actions)
 }
 
-// carryOut does what a query wants done. Seen holds the services that its legs reached.
-func (w *world) carryOut(q *gather.Query, began clock.Milli, seen map[string]bool, actions []gather.Action) {
+// carryOut does what a query wants done.
+func (w *world) carryOut(v *visit, actions []gather.Action) {
 	for _, a := range append([]gather.Action(nil), actions...) {
 		switch a.Kind {
 		case gather.Send:
-			w.send(q, began, seen, a)
+			w.send(v, a)
 		case gather.Finish:
-			if a.Outcome.Refusal == nil && w.now-began <= w.route.Objective {
-				w.inTime++
-				if losing(began) {
-					w.lossInTime++
-				}
-				w.covered += float64(len(a.Outcome.Legs)) / worldShards
-			}
+			w.finish(v, &a.Outcome)
 		default:
 			// Callers do not leave here, so that nothing is cancelled.
 		}
 	}
-	if next := q.Next(); !q.Done() {
-		w.after(max(0, next-w.now), func() { w.carryOut(q, began, seen, q.Due(w.now)) })
+	if next := v.query.Next(); !v.query.Done() {
+		w.after(max(0, next-w.now), func() { w.carryOut(v, v.query.Due(w.now)) })
+	}
+}
+
+// finish takes what a caller is told. One that may come back does so once, if it was told when.
+func (w *world) finish(v *visit, outcome *gather.Outcome) {
+	early := w.now-v.arrived <= w.route.Objective/4
+	inTime := outcome.Refusal == nil && w.now-v.arrived <= w.route.Objective
+	if outcome.Refusal != nil && early && outcome.Retry > 0 && !v.again {
+		Expect(outcome.Refusal.Run).To(Equal(reason.No))
+		Expect(v.seen).To(BeEmpty())
+		w.after(outcome.Retry, func() {
+			w.come(&visit{began: v.began, arrived: w.now, again: true, seen: map[string]bool{}})
+		})
+
+		return
+	}
+	if inTime {
+		w.inTime++
+		w.covered += float64(len(outcome.Legs)) / worldShards
+	}
+	if inTime && losing(v.began) {
+		w.lossInTime++
+	}
+	if !w.crowded(v.began) {
+		return
+	}
+	switch {
+	case inTime:
+		w.crowd.inTime++
+	case outcome.Refusal == nil:
+		w.crowd.late++
+	case early:
+		w.crowd.refused++
+	default:
+		w.crowd.failed++
 	}
 }
 
-func (w *world) send(q *gather.Query, began clock.Milli, seen map[string]bool, a gather.Action) {
+func (w *world) send(v *visit, a gather.Action) {
 	s := w.servers[a.Upstream.ID]
 	ended := func(in clock.Milli, r gather.Result) {
-		w.after(in, func() { w.carryOut(q, began, seen, q.Answered(w.now, a.Number, r)) })
+		if w.load.reports && r.Sent && !s.mute {
+			r.Load = s.report()
+		}
+		w.after(in, func() { w.carryOut(v, v.query.Answered(w.now, a.Number, r)) })
 	}
 	if s.dead {
 		ended(wayMean, gather.Result{Run: reason.No, Reason: reason.Connection})
@@ -185,8 +254,8 @@
 		return
 	}
 	w.arrivals++
-	if !seen[a.Service.Name] {
-		seen[a.Service.Name] = true
+	if !v.seen[a.Service.Name] {
+		v.seen[a.Service.Name] = true
 		w.first++
 	}
 	if s.mute {
@@ -259,6 +328,19 @@
 		})
 	}
 
+	for _, burst := range []float64{4, 8, 16} {
+		It(fmt.Sprintf("refuse at once what they cannot answer in time under %g times the load", burst), func() {
+			w := newLoadWorld(load{perSecond: crowdRate, burst: burst, reports: true})
+			w.run()
+			asked := float64(w.crowd.asked)
+			_, _ = fmt.Fprintf(GinkgoWriter, "%g times the load: %+v, %.3f in time, %.3f failed late\n", burst, w.crowd,
+				float64(w.crowd.inTime)/asked, float64(w.crowd.failed)/asked)
+			// Half of what the upstreams bear is answered in time, and nobody waits for a refusal.
+			Expect(float64(w.crowd.inTime) / asked).To(BeNumerically(">=", 0.5*worldRate/(crowdRate*burst)))
+			Expect(float64(w.crowd.failed) / asked).To(BeNumerically("<=", 0.01))
+		})
+	}
+
 	It("use the extra sends of a calm time when many answers are lost", func() {
 		w := newLoadWorld(load{perSecond: 60, lost: 0.5})
 		w.run()
