Write all lines of requests that fail

Cause: of each kind and reason 20 lines a second were written, whoever's they were.

Change: a line that is one too many is held (1,024 requests and 16 lines each at most, ten seconds at most). When its request ends without a whole answer the line is written then, 100 a second of one kind and reason at most, with 'ago'; else it is dropped and counted in 'skipped'. Ends that are not whole answers get 50 lines a second. 'why' takes 'ago' off the time of a line.

Specs: 5 failed among 500 requests that all were sent again keep all their lines (red without held lines); 500 that fail write 170 at most and 'skipped' adds up to the rest (red without the bound).

--- /dev/null
+++ b/io/journal/journal_test.go
@@ -0,0 +1,102 @@
+package journal_test
+
+import (
+	"fmt"
+
+	"jacinthferry/core/clock"
+	"jacinthferry/core/event"
+	"jacinthferry/core/reason"
+	"jacinthferry/io/journal"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+var _ = Describe("the lines of a busy second", func() {
+	const requests = 500
+	var now clock.Milli
+	var written []event.Event
+	var left int
+	var j *journal.Journal
+
+	BeforeEach(func() {
+		now, written, left = clock.Second, nil, 0
+		j = journal.New("daemon", 16, func() clock.Milli { return now })
+		j.Written(func(e event.Event, skipped int) {
+			written = append(written, e)
+			left += skipped
+		})
+	})
+
+	// play has requests sent again, and then end with an event that end returns.
+	play := func(retries int, end func(i int) event.Event) {
+		for i := range requests {
+			for range retries {
+				j.Record(event.Event{Kind: event.Retry, Reason: reason.Failed, Request: fmt.Sprint(i)})
+			}
+		}
+		now += 100
+		for i := range requests {
+			e := end(i)
+			e.Request = fmt.Sprint(i)
+			j.Record(e)
+		}
+	}
+
+	about := func(request string) []event.Kind {
+		var kinds []event.Kind
+		for _, e := range written {
+			if e.Request == request {
+				kinds = append(kinds, e.Kind)
+			}
+		}
+
+		return kinds
+	}
+
+	It("hold all that happened to the few requests that failed", func() {
+		play(2, func(i int) event.Event {
+			if i%100 == 99 {
+				return event.Event{Kind: event.Refusal, Reason: reason.Failed}
+			}
+
+			return event.Event{Kind: event.Answer}
+		})
+		for i := 99; i < requests; i += 100 {
+			Expect(about(fmt.Sprint(i))).To(Equal([]event.Kind{event.Retry, event.Retry, event.Refusal}))
+		}
+	})
+
+	It("keep the time of what was held", func() {
+		play(1, func(int) event.Event { return event.Event{Kind: event.Refusal, Reason: reason.Failed} })
+		for _, e := range written {
+			if e.Kind == event.Retry {
+				Expect(e.At).To(Equal(clock.Second))
+			}
+		}
+	})
+
+	It("are bounded when every request fails, and say how many were left out", func() {
+		play(3, func(int) event.Event { return event.Event{Kind: event.Refusal, Reason: reason.Failed} })
+		Expect(len(written)).To(BeNumerically("<=", 20+50+100))
+		now += 2 * clock.Second
+		j.Record(event.Event{Kind: event.Refusal, Reason: reason.Failed})
+		j.Record(event.Event{Kind: event.Retry, Reason: reason.Failed})
+		Expect(len(written) + left).To(Equal(requests*4 + 2))
+	})
+
+	It("forget what was held for requests that never end", func() {
+		play(1, func(int) event.Event { return event.Event{Kind: event.Hedge, Reason: reason.Slow} })
+		now += 20 * clock.Second
+		for range 30 {
+			j.Record(event.Event{Kind: event.Retry, Reason: reason.Failed, Request: "other"})
+		}
+		now += 6 * clock.Second
+		for range 30 {
+			j.Record(event.Event{Kind: event.Retry, Reason: reason.Failed, Request: "another"})
+		}
+		written = nil
+		j.Record(event.Event{Kind: event.Refusal, Reason: reason.Failed, Request: "400"})
+		Expect(about("400")).To(Equal([]event.Kind{event.Refusal}))
+	})
+})
--- a/io/journal/read.go
+++ b/io/journal/read.go
@@ -32,6 +32,8 @@
 	Request  string    `json:"request"`
 	Detail   string    `json:"detail"`
 	Revision uint64    `json:"revision"`
+	// Ago is how many milliseconds before Time the event was.
+	Ago float64 `json:"ago"`
 }
 
 // eventMessage is the message of a line that is an event.
@@ -60,9 +62,9 @@
 
 func (l *logLine) event() event.Event {
 	e := event.Event{
-		At: clock.At(l.Time), Kind: event.Kind(l.Kind), Reason: reason.Word(l.Reason), Service: l.Service,
-		Version: l.Version, Zone: l.Zone, Upstream: l.Upstream, Daemon: l.Daemon, Request: l.Request, Detail: l.Detail,
-		Revision: l.Revision,
+		At: clock.At(l.Time) - clock.Milli(l.Ago), Kind: event.Kind(l.Kind), Reason: reason.Word(l.Reason),
+		Service: l.Service, Version: l.Version, Zone: l.Zone, Upstream: l.Upstream, Daemon: l.Daemon,
+		Request: l.Request, Detail: l.Detail, Revision: l.Revision,
 	}
 	if l.Message != eventMessage {
 		e.Kind, e.Daemon, e.Detail = event.Process, l.Name, l.Message
