Say in the log why a request was refused or a shard left out

The refusal's line names the shard that would have been waited for, the wait and how long it may be; the line of a partial answer says how many shards were not asked because they would have been too slow.

--- a/core/gather/crowd.go
+++ b/core/gather/crowd.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"slices"
 
 	"jacinthferry/core/clock"
@@ -38,23 +39,31 @@
 func (q *Query) refuseCrowded(now clock.Milli) bool {
 	outlooks := q.outlooks(now)
 	least := q.least()
-	if o := outlooks[least-1]; o.wait > q.longestWait(now, o) {
-		for i := range q.shards {
-			q.shards[i].why = reason.Overload
-		}
-		q.finish(now)
+	if o, longest := outlooks[least-1], q.longestWait(now, outlooks[least-1]); o.wait > longest {
+		q.refuseAt(now, o, longest)
 
 		return true
 	}
 	for _, o := range outlooks[least:] {
 		if o.whole() > skipPart*q.route.Objective {
 			q.giveUp(o.shard)
+			q.unasked++
 		}
 	}
 
 	return false
 }
 
+// refuseAt refuses the request because it would wait too long at a shard.
+func (q *Query) refuseAt(now clock.Milli, o outlook, longest clock.Milli) {
+	name := q.shards[o.shard].service.Name
+	q.detail = fmt.Sprintf("%s would wait %.0f ms for a slot, at most %.0f", name, o.wait, longest)
+	for i := range q.shards {
+		q.shards[i].why = reason.Overload
+	}
+	q.finish(now)
+}
+
 // longestWait is how long a request may wait for a slot at a shard.
 func (q *Query) longestWait(now clock.Milli, o outlook) clock.Milli {
 	if o.work > slowPart*q.route.Objective {
--- a/core/gather/desk.go
+++ b/core/gather/desk.go
@@ -221,6 +221,8 @@
 	// Missing are the services of the shards that an answer does not cover, or those without upstreams
 	// when there is no answer.
 	Missing []string
+	// Unasked is how many of them were not asked because they would have answered too late.
+	Unasked int
 	// Refusal is set when there is no such answer, and Retry when the caller may come back.
 	Refusal *reason.Refusal
 	Retry   clock.Milli
--- a/core/gather/outcome.go
+++ b/core/gather/outcome.go
@@ -63,7 +63,7 @@
 
 func (q *Query) finish(now clock.Milli) {
 	q.done = true
-	outcome := Outcome{}
+	outcome := Outcome{Unasked: q.unasked}
 	switch {
 	case q.enough():
 		for i := range q.shards {
@@ -112,7 +112,7 @@
 		}
 	}
 
-	return reason.New(word, run, "")
+	return reason.New(word, run, q.detail)
 }
 
 // retryAfter spreads callers that were refused over the time in which an upstream may be back.
--- a/core/gather/query.go
+++ b/core/gather/query.go
@@ -69,7 +69,11 @@
 	covered  int
 	// waiting is how many shards are neither covered nor gone.
 	waiting int
-	done    bool
+	// unasked is how many shards were left out because they would answer too late.
+	unasked int
+	// detail says what a refusal was decided on.
+	detail string
+	done   bool
 }
 
 // Done reports whether the caller was told.
--- a/core/gather/query_test.go
+++ b/core/gather/query_test.go
@@ -411,7 +411,10 @@
 		Expect(kinds(actions, gather.Send)).To(BeEmpty())
 		end := kinds(actions, gather.Finish)
 		Expect(end).To(HaveLen(1))
-		Expect(*end[0].Outcome.Refusal).To(Equal(reason.Refusal{Reason: reason.Overload, Run: reason.No}))
+		refusal := *end[0].Outcome.Refusal
+		Expect(refusal.Detail).To(MatchRegexp(`shard\d would wait \d+ ms for a slot, at most 30`))
+		refusal.Detail = ""
+		Expect(refusal).To(Equal(reason.Refusal{Reason: reason.Overload, Run: reason.No}))
 		Expect(end[0].Outcome.Retry).To(BeNumerically(">", 0))
 		Expect(end[0].Outcome.Retry).To(BeNumerically("<=", 800.0/3))
 	})
@@ -423,6 +426,27 @@
 		Expect(kinds(actions, gather.Send)).To(HaveLen(20))
 	})
 
+	It("leaves out the slowest shards and tells that they are missing", func() {
+		d := newDesk(20, 2, lookup)
+		for i := range 2 {
+			service := d.view.Config.Services[fmt.Sprintf("shard%d", i)]
+			for _, u := range d.view.Usable(service.Name) {
+				d.fleet.Sent(start-200, service, u)
+				d.fleet.Answered(start-1, start-200, 0, u, &balance.Load{Running: 1, Slots: 2})
+			}
+		}
+		q, sends := d.begin(start)
+		sends = kinds(sends, gather.Send)
+		Expect(sends).To(HaveLen(18))
+		var end []gather.Action
+		for _, a := range sends {
+			end = append([]gather.Action(nil), q.Answered(start+20, a.Number, good)...)
+		}
+		Expect(kinds(end, gather.Finish)).To(HaveLen(1))
+		Expect(end[0].Outcome.Missing).To(Equal([]string{"shard0", "shard1"}))
+		Expect(end[0].Outcome.Unasked).To(Equal(2))
+	})
+
 	It("sends no second leg to where it would wait", func() {
 		d := newDesk(2, 2, lookup)
 		q, sends := d.begin(start)
--- a/io/gateway/pending.go
+++ b/io/gateway/pending.go
@@ -126,6 +126,9 @@
 	if outcome.Refusal != nil {
 		p.answer = Answer{Refusal: outcome.Refusal, Retry: outcome.Retry}
 		detail := "run " + string(outcome.Refusal.Run)
+		if outcome.Refusal.Detail != "" {
+			detail = outcome.Refusal.Detail + ", " + detail
+		}
 		if len(outcome.Missing) > 0 {
 			detail = without(outcome.Missing) + ", " + detail
 		}
@@ -147,7 +150,7 @@
 	}
 	p.answer = Answer{Stamps: stamps, Missing: len(outcome.Missing), Body: gather.Top(parts, p.route.Top)}
 	if len(outcome.Missing) > 0 {
-		p.note(now, event.Partial, reason.Coverage, without(outcome.Missing))
+		p.note(now, event.Partial, reason.Coverage, without(outcome.Missing)+unasked(outcome.Unasked))
 
 		return
 	}
@@ -167,6 +170,15 @@
 	return "without " + strings.Join(services, " ") + more
 }
 
+// unasked says how many of the missing services were not asked.
+func unasked(n int) string {
+	if n == 0 {
+		return ""
+	}
+
+	return fmt.Sprintf(" (%d not asked, as too slow)", n)
+}
+
 // note records how the call ended, with what that was decided on: the configuration and how long ago
 // the store confirmed it.
 func (p *pending) note(now clock.Milli, kind event.Kind, word reason.Word, detail string) {
