Refuse requests that crash the upstreams that run them

Cause: an entry daemon sent a request again and again that ends each upstream that runs it, at any daemon and whenever its caller came back. 'serve' had a quarantine, 'entry' had none.

Change: when a connection breaks while an upstream runs a request, the daemon opens another one. If nobody listens there any more the crash is tied to the request (method, host, target, body and service). Two such crashes, one after the other, put it into quarantine for a minute: refused as not run, here and, by a record of each daemon in the store, on all daemons. Crashes at the same time count once, as a request that runs on many upstreams is not the cause when they end together; an answer clears the request; a connection that only breaks counts for nothing, and the one opened to find out serves the next request.

Specs (red without the change): two upstreams that end one after the other; connections that only break; upstreams that end together; what another daemon found; the record in the store, also after an outage; two daemons over the published protocol.

--- a/core/catalog/config.go
+++ b/core/catalog/config.go
@@ -41,6 +41,22 @@
 // Gathers reports whether requests go to every shard.
 func (r *Route) Gathers() bool { return len(r.Shards) > 0 }
 
+// Services returns the services that requests of the route may be sent to.
+func (r *Route) Services() []string {
+	switch {
+	case r.Gathers():
+		return r.Shards
+	case len(r.Split) == 0:
+		return []string{r.Service}
+	}
+	list := make([]string, 0, len(r.Split))
+	for _, s := range r.Split {
+		list = append(list, s.Service)
+	}
+
+	return list
+}
+
 // Service is what the configuration says of the upstreams of one service.
 type Service struct {
 	Name string
--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -171,6 +171,9 @@
 	return news, true
 }
 
+// Empty reports whether nothing is known against any request.
+func (l *List) Empty() bool { return len(l.suspects) == 0 }
+
 // Entries returns everything that a new daemon has to know.
 func (l *List) Entries(now clock.Milli) []Entry {
 	list := make([]Entry, 0, len(l.suspects))
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -14,6 +14,7 @@
 	"jacinthferry/core/catalog"
 	"jacinthferry/core/clock"
 	"jacinthferry/core/gather"
+	"jacinthferry/core/quarantine"
 	"jacinthferry/core/rollout"
 	"jacinthferry/io/gateway"
 	"jacinthferry/io/journal"
@@ -71,7 +72,8 @@
 	ports := registry.Ports{
 		Now: now, Store: platform.NewStore(s.Store, store), Decode: platform.Decode, Record: e.journal.Record,
 		Counts: e.counts, Report: platform.EncodeReport,
-		Self: registry.Member{Name: s.Name, Front: s.Front, Zone: s.Zone, Relay: s.Relay, Cores: s.Cores * s.Share},
+		Learn: func(p quarantine.Print) { e.gateway.Quarantine(p) },
+		Self:  registry.Member{Name: s.Name, Front: s.Front, Zone: s.Zone, Relay: s.Relay, Cores: s.Cores * s.Share},
 	}
 	e.registry = registry.New(ports)
 	e.lease = registry.NewLease(ports, e.registry.Settled)
@@ -81,7 +83,7 @@
 	e.gateway = gateway.New(gateway.Ports{
 		Relay: links.Send,
 		Now:   now, View: e.registry.View, Daemons: e.registry.Daemons, Heard: e.registry.Heard, Codec: platform.Codec(),
-		Record: e.journal.Record, Observe: e.observe, Zone: s.Zone, Policy: policy(s),
+		Record: e.journal.Record, Observe: e.observe, Quarantined: e.registry.Quarantined, Zone: s.Zone, Policy: policy(s),
 	})
 	e.idle = socket.NewIdle(now, func() clock.Milli { return e.gateway.Limits().Idle })
 	front := &platform.Front{
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -11,6 +11,7 @@
 	"jacinthferry/core/clock"
 	"jacinthferry/core/event"
 	"jacinthferry/core/gather"
+	"jacinthferry/core/quarantine"
 	"jacinthferry/core/reason"
 	"jacinthferry/core/rollout"
 	"jacinthferry/io/timer"
@@ -34,6 +35,9 @@
 	// delivered in the order in which it comes, and every leg has a result once. Cancel gives up on the
 	// legs that are still open. Relay may be nil.
 	Relay func(call *Call, group *gather.Group, deliver func(Delivery)) (cancel func(), ok bool)
+	// Quarantined takes the fingerprint of a request that this daemon found to crash upstreams. It may be
+	// nil.
+	Quarantined func(quarantine.Print)
 	// Zone is the availability zone of this daemon.
 	Zone   string
 	Policy gather.Policy
@@ -44,10 +48,11 @@
 	ports Ports
 	pool  *pool
 
-	// mu guards what the requests share: the desk, the fleet and the queries.
-	mu    sync.Mutex
-	fleet *balance.Fleet
-	desk  *gather.Desk
+	// mu guards what the requests share: the desk, the fleet, the queries and the crashes.
+	mu      sync.Mutex
+	fleet   *balance.Fleet
+	desk    *gather.Desk
+	crashes *crashes
 }
 
 // New returns a gateway.
@@ -55,7 +60,7 @@
 	fleet := balance.New(balance.Rules{Zone: ports.Zone, Daemons: ports.Daemons, Uniform: rand.Float64})
 
 	return &Gateway{
-		ports: ports, pool: newPool(), fleet: fleet,
+		ports: ports, pool: newPool(), fleet: fleet, crashes: newCrashes(),
 		desk: gather.New(ports.Policy, fleet, ports.Daemons, rand.Float64),
 	}
 }
@@ -88,6 +93,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.desk.Keep(now, view)
+	g.crashes.keep(now)
 }
 
 // Serve answers a call. It returns an answer with neither reply nor refusal when the caller left.
@@ -103,6 +109,9 @@
 	if call.Left <= 0 {
 		call.Left = route.Timeout
 	}
+	if service := g.quarantined(call, route); service != "" {
+		return g.refuseCrashing(call, route, service)
+	}
 	p := &pending{sender: &sender{gateway: g, call: call}, route: route, config: view.Config, done: make(chan struct{})}
 	p.start(view)
 	select {
@@ -124,3 +133,13 @@
 
 	return Answer{Refusal: reason.New(word, reason.No, ""), Retry: unconfigured * call.Left}
 }
+
+// refuseCrashing refuses a call that crashes the upstreams of a service.
+func (g *Gateway) refuseCrashing(call *Call, route *catalog.Route, service string) Answer {
+	g.ports.Record(event.Event{
+		Kind: event.Refusal, Reason: reason.Quarantine, Service: route.Name, Request: call.ID,
+		Detail: "upstreams of " + service + " crashed that ran it, run no",
+	})
+
+	return Answer{Refusal: reason.New(reason.Quarantine, reason.No, ""), Retry: quarantineSpan}
+}
--- a/io/gateway/sender.go
+++ b/io/gateway/sender.go
@@ -42,6 +42,7 @@
 
 		return nil, gather.Result{Run: reason.No, Reason: reason.Cancelled}
 	}
+	at := g.ports.Now()
 	reply, keep, sent, err := c.exchange(g.ports.Now, &g.ports.Codec, s.call, u, deadline)
 	s.release(number)
 	if keep {
@@ -50,10 +51,15 @@
 		_ = c.Close()
 	}
 	if err != nil {
-		return nil, s.broken(u, sent, err)
+		return nil, s.broken(u, at, sent, err)
 	}
 
-	return reply, s.judge(u, reply)
+	result := s.judge(u, reply)
+	if result.Good {
+		g.passed(s.call, u.Service)
+	}
+
+	return reply, result
 }
 
 func (s *sender) connect(number int, u *catalog.Upstream, deadline clock.Milli) (*conn, error) {
@@ -104,8 +110,8 @@
 	return s.abandoned
 }
 
-// broken says what is known of a leg that brought no answer.
-func (s *sender) broken(u *catalog.Upstream, sent bool, err error) gather.Result {
+// broken says what is known of a leg, begun at an instant, that brought no answer.
+func (s *sender) broken(u *catalog.Upstream, at clock.Milli, sent bool, err error) gather.Result {
 	run := reason.Unknown
 	if !sent {
 		run = reason.No
@@ -118,6 +124,9 @@
 		Kind: event.Connection, Reason: reason.Failed, Service: u.Service, Upstream: u.ID, Request: s.call.ID,
 		Detail: err.Error(),
 	})
+	if sent && !isTimeout(err) {
+		go s.gateway.examine(s.call, u, visit{sent: at, broken: s.gateway.ports.Now()})
+	}
 
 	return gather.Result{Run: run, Reason: reason.Failed, Sent: sent}
 }
--- a/io/registry/entries.go
+++ b/io/registry/entries.go
@@ -1,6 +1,8 @@
 package registry
 
 import (
+	"slices"
+
 	"jacinthferry/core/clock"
 	"jacinthferry/core/event"
 	"jacinthferry/core/reason"
@@ -29,6 +31,13 @@
 	if record.Kind == Other {
 		return false
 	}
+	if r.ports.Learn != nil {
+		for _, p := range record.Prints {
+			if !slices.Contains(old.record.Prints, p) {
+				r.ports.Learn(p)
+			}
+		}
+	}
 	r.noteChange(&old.record, &record, e)
 	r.entries[e.Key] = held{record: record, revision: e.Revision}
 
--- a/io/registry/record.go
+++ b/io/registry/record.go
@@ -6,6 +6,7 @@
 
 	"jacinthferry/core/catalog"
 	"jacinthferry/core/clock"
+	"jacinthferry/core/quarantine"
 	"jacinthferry/core/rollout"
 	"jacinthferry/io/store"
 )
@@ -32,6 +33,8 @@
 	Report
 	// Results is what one daemon has counted for a move.
 	Results
+	// Quarantine is what one daemon found to crash upstreams.
+	Quarantine
 )
 
 // Record is what an entry of the store says.
@@ -46,6 +49,8 @@
 	// Text is a report as it was written.
 	Text    string
 	Results results
+	// Prints are the fingerprints of requests that crash upstreams.
+	Prints []quarantine.Print
 }
 
 // Member is one daemon.
@@ -86,6 +91,9 @@
 	if strings.HasPrefix(e.Key, resultsPrefix) {
 		return decodeResults(e)
 	}
+	if strings.HasPrefix(e.Key, quarantinePrefix) {
+		return decodeQuarantine(e)
+	}
 	name, ok := strings.CutPrefix(e.Key, memberPrefix)
 	if !ok {
 		return p.Decode(e, now)
--- a/io/registry/registry.go
+++ b/io/registry/registry.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"jacinthferry/core/catalog"
 	"jacinthferry/core/clock"
 	"jacinthferry/core/event"
+	"jacinthferry/core/quarantine"
 	"jacinthferry/core/reason"
 	"jacinthferry/core/rollout"
 	"jacinthferry/io/store"
@@ -46,6 +48,8 @@
 	Counts func(service string, m catalog.Move) map[string]rollout.Counts
 	// Report returns the key and text that tell the operators of a move.
 	Report func(service string, m catalog.Move) (key, text string, err error)
+	// Learn takes a request that another daemon found to crash upstreams. It may be nil.
+	Learn func(quarantine.Print)
 	// Self is this daemon's own entry.
 	Self Member
 }
@@ -95,6 +99,9 @@
 	analyzer *rollout.Analyzer
 	// told is when this daemon last wrote what it counted for a move, by service.
 	told map[string]clock.Milli
+	// mu guards found, the requests that this daemon found to crash upstreams.
+	mu    sync.Mutex
+	found []found
 	// counts are the numbers of daemons that were known, oldest first.
 	counts []count
 }
@@ -160,6 +167,7 @@
 	r.regained()
 	if !r.standsBy() {
 		r.advance(ctx)
+		r.shareQuarantine(ctx)
 	}
 	switch {
 	case r.standsBy():
--- a/io/registry/registry_test.go
+++ b/io/registry/registry_test.go
@@ -10,6 +10,7 @@
 	"jacinthferry/core/catalog"
 	"jacinthferry/core/clock"
 	"jacinthferry/core/event"
+	"jacinthferry/core/quarantine"
 	"jacinthferry/core/reason"
 	"jacinthferry/core/rollout"
 	"jacinthferry/io/registry"
@@ -31,6 +32,7 @@
 	lists    int
 	stales   int
 	results  map[string]rollout.Counts
+	learned  []quarantine.Print
 	// lose is set while writes take effect and their answers are lost.
 	lose   bool
 	writes int
@@ -123,6 +125,7 @@
 		},
 		Now: func() clock.Milli { return r.now }, Store: port, Decode: decode,
 		Record: func(event.Event) {}, Self: self,
+		Learn: func(p quarantine.Print) { r.learned = append(r.learned, p) },
 	})
 
 	return r
