--- a/cmd/jacinthferry/whylog.go
+++ b/cmd/jacinthferry/whylog.go
@@ -5,6 +5,7 @@
 	"io"
 	"os"
 	"slices"
+	"strings"
 
 	"github.com/pkg/errors"
 	"github.com/urfave/cli/v3"
@@ -103,7 +104,7 @@
 func explain(c *cli.Command, all []event.Event, id string) error {
 	finding, found := cause.Explain(all, id)
 	if !found {
-		return errors.Errorf("no line of these logs is about request %q", id)
+		return errors.Errorf("no line of these logs is about request %q%s", id, lossText(cause.Losses(all)))
 	}
 	out := requestJSON{Request: id, Causes: finding.Causes}
 	for i := range finding.Lines {
@@ -122,6 +123,20 @@
 	return printFinding(c.Root().Writer, &finding)
 }
 
+// lossText says which daemons may have taken a request with them.
+func lossText(losses []cause.Loss) string {
+	if len(losses) == 0 {
+		return ""
+	}
+	var b strings.Builder
+	b.WriteString("; these daemons ended without a planned stop, with the requests that they had taken:")
+	for _, l := range losses {
+		_, _ = fmt.Fprintf(&b, "\n  %s after %s, served again at %s", l.Daemon, clockText(l.Last), clockText(l.Started))
+	}
+
+	return b.String()
+}
+
 func printFinding(w io.Writer, f *cause.Finding) error {
 	if len(f.Causes) == 0 {
 		_, _ = fmt.Fprintln(w, "nothing went wrong with it, or the lines about that were left out")
--- a/core/cause/cause.go
+++ b/core/cause/cause.go
@@ -100,7 +100,7 @@
 // unconfigured explains why a daemon had no configuration: it had just started, or lost the store.
 func (s *search) unconfigured(last event.Event) {
 	starts := s.near(before, 0, func(e *event.Event) bool {
-		return e.Kind == event.Process && e.Detail == "serving" && e.Daemon == last.Daemon
+		return e.Kind == event.Process && e.Detail == serving && e.Daemon == last.Daemon
 	})
 	lost := s.near(before, 0, func(e *event.Event) bool {
 		return e.Kind == event.Store && strings.HasPrefix(e.Detail, "lost") && e.Daemon == last.Daemon
