Name ownership, plans, retries and queues by the field's terms

Tenure is Ownership, a submit's Course is its Plan and Again is Retryable, a member's Hear is Receive, a queue's line is a fairQueue, the daemon's tenure is its standing. Files follow their content. No behaviour changes.

--- a/core/admit/admit.go
+++ b/core/admit/admit.go
@@ -48,8 +48,8 @@
 	limits  Limits
 	state   state
 	running []running
-	urgent  line
-	routine line
+	urgent  fairQueue
+	routine fairQueue
 	// passed counts the urgent legs served since the last routine one, while routine legs wait.
 	passed int
 	// share is the part of the slots that urgent legs take while routine legs wait.
@@ -114,7 +114,7 @@
 	if !q.policy.Fair {
 		item.Flow = 0
 	}
-	n := q.line(item.Urgent)
+	n := q.waitingOf(item.Urgent)
 	tag, ahead := n.place(item.Flow)
 	if q.policy.Early && q.late(now, item, ahead) {
 		q.refuse(item.Ticket, reason.Deadline)
@@ -130,7 +130,7 @@
 	return q.actions
 }
 
-func (q *Queue) line(urgent bool) *line {
+func (q *Queue) waitingOf(urgent bool) *fairQueue {
 	if urgent {
 		return &q.urgent
 	}
--- a/core/admit/line.go
+++ b/core/admit/fairqueue.go
@@ -2,27 +2,27 @@
 
 import "sort"
 
-// waiting is an item in a line. Its tag is the round in which its flow's turn comes.
+// waiting is an item in a queue. Its tag is the round in which its flow's turn comes.
 type waiting struct {
 	item Item
 	tag  uint64
 }
 
-// line holds the waiting items of one priority in the order of start-time fair queueing (Goyal,
+// fairQueue holds the waiting items of one priority in the order of start-time fair queueing (Goyal,
 // Vin and Cheng): a flow's n-th waiting item is served n rounds after the round now served.
-type line struct {
+type fairQueue struct {
 	items []waiting
 	head  int
 	round uint64
 }
 
-// keptLine is the capacity of a line that an idle upstream keeps, in items.
-const keptLine = 4
+// keptItems is the capacity of a queue that an idle upstream keeps, in items.
+const keptItems = 4
 
-func (n *line) len() int { return len(n.items) - n.head }
+func (n *fairQueue) len() int { return len(n.items) - n.head }
 
 // place returns the tag for a new item, and how many items go before it.
-func (n *line) place(flow uint64) (uint64, int) {
+func (n *fairQueue) place(flow uint64) (uint64, int) {
 	tag := n.round
 	for i := len(n.items) - 1; i >= n.head; i-- {
 		if n.items[i].item.Flow == flow {
@@ -37,7 +37,7 @@
 	return tag, ahead
 }
 
-func (n *line) insert(w waiting, ahead int) {
+func (n *fairQueue) insert(w waiting, ahead int) {
 	if n.head > 0 && len(n.items) == cap(n.items) {
 		n.items = n.items[:copy(n.items, n.items[n.head:])]
 		n.head = 0
@@ -48,7 +48,7 @@
 	n.items[at] = w
 }
 
-func (n *line) pop() Item {
+func (n *fairQueue) pop() Item {
 	w := n.items[n.head]
 	n.head++
 	n.round = w.tag
@@ -58,7 +58,7 @@
 }
 
 // popLast removes the item that would be served last.
-func (n *line) popLast() Item {
+func (n *fairQueue) popLast() Item {
 	w := n.items[len(n.items)-1]
 	n.items = n.items[:len(n.items)-1]
 	n.reset()
@@ -66,7 +66,7 @@
 	return w.item
 }
 
-func (n *line) remove(ticket uint64) bool {
+func (n *fairQueue) remove(ticket uint64) bool {
 	for i := n.head; i < len(n.items); i++ {
 		if n.items[i].item.Ticket == ticket {
 			n.items = append(n.items[:i], n.items[i+1:]...)
@@ -79,14 +79,14 @@
 	return false
 }
 
-// reset gives the memory of an empty line back.
-func (n *line) reset() {
+// reset gives the memory of an empty queue back.
+func (n *fairQueue) reset() {
 	if n.len() > 0 {
 		return
 	}
 	n.head = 0
 	n.items = n.items[:0]
-	if cap(n.items) > keptLine {
+	if cap(n.items) > keptItems {
 		n.items = nil
 	}
 }
--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -133,7 +133,7 @@
 		return false
 	}
 
-	return s.bears(now, f.coldRate(service))
+	return s.coldAdmits(now, f.coldRate(service))
 }
 
 // connections returns this daemon's part of the connections that an upstream accepts.
@@ -356,8 +356,8 @@
 	return len(s.sent) > 0 && now-s.sent[0] > max(suspectFloor, suspectFactor*s.expected(now))
 }
 
-// bears reports whether the upstream is warm or may get a request at the rate of a cold one.
-func (s *state) bears(now clock.Milli, rate float64) bool {
+// coldAdmits reports whether the upstream is warm or may get a request at the rate of a cold one.
+func (s *state) coldAdmits(now clock.Milli, rate float64) bool {
 	if rate <= 0 || now >= s.warm {
 		return true
 	}
--- a/core/home/home.go
+++ b/core/home/home.go
@@ -64,9 +64,9 @@
 	held
 )
 
-// Tenure is what a daemon knows of its right to send to one upstream. The zero value is not usable;
+// Ownership is what a daemon knows of its right to send to one upstream. The zero value is not usable;
 // call New.
-type Tenure struct {
+type Ownership struct {
 	rules    *Rules
 	upstream string
 	phase    phase
@@ -105,100 +105,100 @@
 	running int
 }
 
-// New returns the tenure of a daemon that is not home to the upstream.
-func New(rules *Rules, upstream string) *Tenure {
-	return &Tenure{rules: rules, upstream: upstream}
+// New returns the ownership of a daemon that is not home to the upstream.
+func New(rules *Rules, upstream string) *Ownership {
+	return &Ownership{rules: rules, upstream: upstream}
 }
 
 // Held reports whether the daemon may use all that the upstream bears.
-func (t *Tenure) Held() bool { return t.phase == held }
+func (o *Ownership) Held() bool { return o.phase == held }
 
 // Mine reports whether the routing table makes this daemon the home.
-func (t *Tenure) Mine() bool { return t.mine }
+func (o *Ownership) Mine() bool { return o.mine }
 
 // Describe says in a few words how the newest claim went.
-func (t *Tenure) Describe(now clock.Milli) string {
+func (o *Ownership) Describe(now clock.Milli) string {
 	word := "nobody vouched"
-	if t.vouched {
+	if o.vouched {
 		word = "handed over"
 	}
 
 	return fmt.Sprintf("%s, %d unanswered %v, %d legs left, after %.0f ms",
-		word, len(t.asked), t.asked, t.left(), float64(now-t.wanted))
+		word, len(o.asked), o.asked, o.left(), float64(now-o.wanted))
 }
 
 // Soon reports whether the daemon is likely to hold the upstream in a moment.
-func (t *Tenure) Soon(now clock.Milli) bool {
-	return t.mine && t.phase != held && now-t.wanted < t.rules.Grace
+func (o *Ownership) Soon(now clock.Milli) bool {
+	return o.mine && o.phase != held && now-o.wanted < o.rules.Grace
 }
 
-// Idle reports whether the tenure holds nothing worth keeping. A claimant that did not get the
+// Idle reports whether the ownership holds nothing worth keeping. A claimant that did not get the
 // answer asks again, so that the word given to it is kept for as long as it can matter.
-func (t *Tenure) Idle(now clock.Milli) bool {
-	return t.phase == away && !t.mine && !t.owed && now >= t.retry
+func (o *Ownership) Idle(now clock.Milli) bool {
+	return o.phase == away && !o.mine && !o.owed && now >= o.retry
 }
 
 // Claim says that the routing table makes this daemon the home. Others are the daemons that could
 // be the holder now.
-func (t *Tenure) Claim(now clock.Milli, others []string) []Send {
-	if t.mine && t.phase == claiming {
-		return t.ask(others)
+func (o *Ownership) Claim(now clock.Milli, others []string) []Send {
+	if o.mine && o.phase == claiming {
+		return o.ask(others)
 	}
-	if t.mine {
+	if o.mine {
 		return nil
 	}
-	t.mine, t.muted, t.wanted = true, false, now
+	o.mine, o.muted, o.wanted = true, false, now
 
-	return t.begin(now, others)
+	return o.begin(now, others)
 }
 
 // Release says that the routing table makes another daemon the home.
-func (t *Tenure) Release(now clock.Milli) {
-	if !t.mine {
+func (o *Ownership) Release(now clock.Milli) {
+	if !o.mine {
 		return
 	}
-	t.mine, t.released, t.retry = false, now, now+t.rules.Wait()
+	o.mine, o.released, o.retry = false, now, now+o.rules.Wait()
 	// A former holder goes on for a while, and can vouch for the next one.
-	if t.phase != held {
-		t.phase, t.vouched = away, false
+	if o.phase != held {
+		o.phase, o.vouched = away, false
 	}
 }
 
 // begin starts a claim under a new epoch.
-func (t *Tenure) begin(now clock.Milli, others []string) []Send {
+func (o *Ownership) begin(now clock.Milli, others []string) []Send {
 	// A denied claim keeps the word of a holder that gave way to it.
-	t.vouched = t.vouched || t.phase == held
-	t.phase, t.since, t.spoke = claiming, now, now
+	o.vouched = o.vouched || o.phase == held
+	o.phase, o.since, o.spoke = claiming, now, now
 	// Only a gap from now on counts: nothing is held from before.
-	t.confirmed = now
-	t.epoch = max(t.epoch+1, uint64(now))
-	t.asked, t.answered = nil, nil
-	t.owed, t.vouch = false, false
-	if t.successor != "" && !slices.Contains(others, t.successor) {
-		others = append(slices.Clone(others), t.successor)
+	o.confirmed = now
+	o.epoch = max(o.epoch+1, uint64(now))
+	o.asked, o.answered = nil, nil
+	o.owed, o.vouch = false, false
+	if o.successor != "" && !slices.Contains(others, o.successor) {
+		others = append(slices.Clone(others), o.successor)
 	}
 
-	return t.ask(others)
+	return o.ask(others)
 }
 
 // ask sends the claim to the candidates that it has not gone to yet.
-func (t *Tenure) ask(others []string) []Send {
+func (o *Ownership) ask(others []string) []Send {
 	var sends []Send
 	for _, name := range others {
-		if slices.Contains(t.asked, name) || t.replied(name) != nil {
+		if slices.Contains(o.asked, name) || o.replied(name) != nil {
 			continue
 		}
-		t.asked = append(t.asked, name)
-		sends = append(sends, t.claim(name))
+		o.asked = append(o.asked, name)
+		sends = append(sends, o.claim(name))
 	}
 
 	return sends
 }
 
-func (t *Tenure) replied(name string) *answer {
-	for i := range t.answered {
-		if t.answered[i].name == name {
-			return &t.answered[i]
+func (o *Ownership) replied(name string) *answer {
+	for i := range o.answered {
+		if o.answered[i].name == name {
+			return &o.answered[i]
 		}
 	}
 
@@ -206,104 +206,104 @@
 }
 
 // left returns how many legs of daemons that gave way have not ended.
-func (t *Tenure) left() int {
+func (o *Ownership) left() int {
 	n := 0
-	for _, a := range t.answered {
+	for _, a := range o.answered {
 		n += a.running
 	}
 
 	return n
 }
 
-func (t *Tenure) claim(to string) Send {
-	return Send{to, Message{Kind: Ask, Upstream: t.upstream, Epoch: t.epoch}}
+func (o *Ownership) claim(to string) Send {
+	return Send{to, Message{Kind: Ask, Upstream: o.upstream, Epoch: o.epoch}}
 }
 
 // Linked says that a link to a daemon was opened. A claim that has no answer from it goes again.
-func (t *Tenure) Linked(name string) []Send {
-	if t.phase != claiming || !slices.Contains(t.asked, name) {
+func (o *Ownership) Linked(name string) []Send {
+	if o.phase != claiming || !slices.Contains(o.asked, name) {
 		return nil
 	}
 
-	return []Send{t.claim(name)}
+	return []Send{o.claim(name)}
 }
 
 // Asked takes another daemon's claim. Call Check first. Behind is set when the claimant comes after this daemon in
 // the order of homes; running is how many of this daemon's legs have not ended.
-func (t *Tenure) Asked(now clock.Milli, from string, epoch uint64, behind bool, running int) Send {
-	reply := Message{Upstream: t.upstream, Epoch: epoch}
-	if t.mine && t.phase != away && behind {
+func (o *Ownership) Asked(now clock.Milli, from string, epoch uint64, behind bool, running int) Send {
+	reply := Message{Upstream: o.upstream, Epoch: epoch}
+	if o.mine && o.phase != away && behind {
 		reply.Kind = Deny
 
 		return Send{from, reply}
 	}
-	again := t.successor == from && t.follows == epoch
-	t.vouch = t.phase == held || (again && t.vouch)
-	t.successor, t.follows, t.owed = from, epoch, running > 0
-	t.vouched = false
-	reply.Kind, reply.Held, reply.Running = Yield, t.vouch, running
-	t.phase, t.retry = away, now+t.rules.Wait()
+	again := o.successor == from && o.follows == epoch
+	o.vouch = o.phase == held || (again && o.vouch)
+	o.successor, o.follows, o.owed = from, epoch, running > 0
+	o.vouched = false
+	reply.Kind, reply.Held, reply.Running = Yield, o.vouch, running
+	o.phase, o.retry = away, now+o.rules.Wait()
 
 	return Send{from, reply}
 }
 
 // Replied takes the answer to a claim.
-func (t *Tenure) Replied(now clock.Milli, from string, m Message) {
-	if t.phase != claiming || m.Epoch != t.epoch {
+func (o *Ownership) Replied(now clock.Milli, from string, m Message) {
+	if o.phase != claiming || m.Epoch != o.epoch {
 		return
 	}
 	if m.Kind == Deny {
 		// The two tables differ; one of them is about to change.
-		t.phase, t.retry = away, now+repeat
+		o.phase, o.retry = away, now+repeat
 
 		return
 	}
-	t.vouched = t.vouched || m.Held
-	if a := t.replied(from); a != nil {
+	o.vouched = o.vouched || m.Held
+	if a := o.replied(from); a != nil {
 		a.running = min(a.running, m.Running)
 
 		return
 	}
-	if i := slices.Index(t.asked, from); i >= 0 {
-		t.asked = slices.Delete(t.asked, i, i+1)
+	if i := slices.Index(o.asked, from); i >= 0 {
+		o.asked = slices.Delete(o.asked, i, i+1)
 	}
-	t.answered = append(t.answered, answer{from, m.Running})
+	o.answered = append(o.answered, answer{from, m.Running})
 }
 
 // Ended says that this daemon has no more legs at the upstream. It returns the confirmation that a
 // successor waits for, if there is one.
-func (t *Tenure) Ended() (Send, bool) {
-	if !t.owed || t.phase != away {
+func (o *Ownership) Ended() (Send, bool) {
+	if !o.owed || o.phase != away {
 		return Send{}, false
 	}
-	t.owed = false
+	o.owed = false
 
-	return Send{t.successor, Message{Kind: Yield, Upstream: t.upstream, Epoch: t.follows, Held: t.vouch}}, true
+	return Send{o.successor, Message{Kind: Yield, Upstream: o.upstream, Epoch: o.follows, Held: o.vouch}}, true
 }
 
-// Check brings the tenure up to date. Confirmed is when this daemon was last known to be counted as
+// Check brings the ownership up to date. Confirmed is when this daemon was last known to be counted as
 // a member; others are the candidates for a claim that has to start again.
-func (t *Tenure) Check(now, confirmed clock.Milli, others func() []string) []Send {
+func (o *Ownership) Check(now, confirmed clock.Milli, others func() []string) []Send {
 	// A gap that is over by now, such as a pause, counts as well: others may have acted in it.
-	lapsed := now-confirmed > t.rules.Lag || confirmed-t.confirmed > t.rules.Lag
-	t.confirmed = confirmed
-	t.muted = !t.mine && now-t.released >= t.rules.Grace
+	lapsed := now-confirmed > o.rules.Lag || confirmed-o.confirmed > o.rules.Lag
+	o.confirmed = confirmed
+	o.muted = !o.mine && now-o.released >= o.rules.Grace
 	switch {
-	case t.phase != away && lapsed:
-		t.phase, t.vouched = away, false
-		t.retry = now
-	case t.phase == held && !t.mine && now >= t.retry:
+	case o.phase != away && lapsed:
+		o.phase, o.vouched = away, false
+		o.retry = now
+	case o.phase == held && !o.mine && now >= o.retry:
 		// Another daemon can hold the upstream by now without having asked.
-		t.phase, t.vouched = away, false
-	case t.phase == claiming && t.complete(now):
-		t.phase = held
-	case t.phase == held:
-		t.asked, t.answered = nil, nil
-	case t.phase == claiming && now-t.spoke >= repeat:
-		return t.again(now)
+		o.phase, o.vouched = away, false
+	case o.phase == claiming && o.complete(now):
+		o.phase = held
+	case o.phase == held:
+		o.asked, o.answered = nil, nil
+	case o.phase == claiming && now-o.spoke >= repeat:
+		return o.resend(now)
 	}
-	if t.phase == away && t.mine && now >= t.retry && now-confirmed <= t.rules.Lag {
-		return t.begin(now, others())
+	if o.phase == away && o.mine && now >= o.retry && now-confirmed <= o.rules.Lag {
+		return o.begin(now, others())
 	}
 
 	return nil
@@ -313,41 +313,41 @@
 // open link is lost.
 const repeat = 100 * clock.Millisecond
 
-func (t *Tenure) again(now clock.Milli) []Send {
-	t.spoke = now
+func (o *Ownership) resend(now clock.Milli) []Send {
+	o.spoke = now
 	var sends []Send
-	for _, name := range t.asked {
-		sends = append(sends, t.claim(name))
+	for _, name := range o.asked {
+		sends = append(sends, o.claim(name))
 	}
-	for _, a := range t.answered {
+	for _, a := range o.answered {
 		if a.running > 0 {
-			sends = append(sends, t.claim(a.name))
+			sends = append(sends, o.claim(a.name))
 		}
 	}
 
 	return sends
 }
 
-func (t *Tenure) complete(now clock.Milli) bool {
+func (o *Ownership) complete(now clock.Milli) bool {
 	// There is one holder at most, and it took hold only after all earlier legs had ended. So its word
 	// is enough: a daemon that is gone and does not answer need not be waited for.
-	if t.vouched && t.left() == 0 {
+	if o.vouched && o.left() == 0 {
 		return true
 	}
 
-	return now-t.since >= t.rules.Wait()
+	return now-o.since >= o.rules.Wait()
 }
 
 // Allowed returns how many legs this daemon may have at the upstream, of the slots that it has and
 // of those that it bears while cold. Call Check first.
-func (t *Tenure) Allowed(bears, slots int) int {
+func (o *Ownership) Allowed(bears, slots int) int {
 	switch {
-	case t.phase == away || t.muted:
+	case o.phase == away || o.muted:
 		return 0
-	case t.phase == held:
+	case o.phase == held:
 		return slots
-	case t.vouched:
-		return max(0, bears-t.left())
+	case o.vouched:
+		return max(0, bears-o.left())
 	default:
 		// A former holder may have legs in every slot.
 		return 0
@@ -355,4 +355,4 @@
 }
 
 // Epoch returns the number of the newest claim.
-func (t *Tenure) Epoch() uint64 { return t.epoch }
+func (o *Ownership) Epoch() uint64 { return o.epoch }
--- a/core/home/home_test.go
+++ b/core/home/home_test.go
@@ -8,11 +8,11 @@
 	. "github.com/onsi/gomega"
 )
 
-var _ = Describe("a tenure", func() {
+var _ = Describe("an ownership", func() {
 	rules := &home.Rules{Lag: 40, Longest: 30, Margin: 10}
 	none := func() []string { return nil }
 
-	holder := func() *home.Tenure {
+	holder := func() *home.Ownership {
 		t := home.New(rules, "u")
 		t.Check(0, 0, none)
 		t.Claim(0, nil)
--- a/core/home/model_test.go
+++ b/core/home/model_test.go
@@ -25,7 +25,7 @@
 // process is one run of a daemon.
 type process struct {
 	name      int
-	tenure    *home.Tenure
+	ownership *home.Ownership
 	confirmed clock.Milli
 	view      [daemons]bool
 	paused    bool
@@ -44,7 +44,7 @@
 	until   clock.Milli
 }
 
-// model is the world that the tenures live in: a list of members that is read late, a network that
+// model is the world that the ownerships live in: a list of members that is read late, a network that
 // loses, delays and reorders, and processes that are paused, killed and replaced.
 type model struct {
 	bound
@@ -70,7 +70,7 @@
 }
 
 func (m *model) start(i int) {
-	m.live[i] = &process{name: i, tenure: home.New(&rules, "u"), confirmed: -rules.Lag}
+	m.live[i] = &process{name: i, ownership: home.New(&rules, "u"), confirmed: -rules.Lag}
 }
 
 func (m *model) send(from int, sends ...home.Send) {
@@ -103,9 +103,9 @@
 	}
 	m.check(p)
 	if first == p.name {
-		m.send(p.name, p.tenure.Claim(m.now, p.others())...)
+		m.send(p.name, p.ownership.Claim(m.now, p.others())...)
 	} else {
-		p.tenure.Release(m.now)
+		p.ownership.Release(m.now)
 	}
 }
 
@@ -117,17 +117,17 @@
 		}
 	}
 	p.ends = kept
-	was := p.tenure.Held()
-	m.send(p.name, p.tenure.Check(m.now, p.confirmed, p.others)...)
-	if !was && p.tenure.Held() && float64(m.now)-float64(p.tenure.Epoch()) < float64(rules.Wait()) {
+	was := p.ownership.Held()
+	m.send(p.name, p.ownership.Check(m.now, p.confirmed, p.others)...)
+	if !was && p.ownership.Held() && float64(m.now)-float64(p.ownership.Epoch()) < float64(rules.Wait()) {
 		m.early++
 	}
 	if len(p.ends) == 0 {
-		if s, ok := p.tenure.Ended(); ok {
+		if s, ok := p.ownership.Ended(); ok {
 			m.send(p.name, s)
 		}
 	}
-	if p.tenure.Held() {
+	if p.ownership.Held() {
 		m.held++
 	}
 }
@@ -141,17 +141,17 @@
 	}
 	m.check(p)
 	if e.message.Kind == home.Ask {
-		m.send(p.name, p.tenure.Asked(m.now, fmt.Sprint(e.from), e.message.Epoch, e.from > p.name, len(p.ends)))
+		m.send(p.name, p.ownership.Asked(m.now, fmt.Sprint(e.from), e.message.Epoch, e.from > p.name, len(p.ends)))
 	} else {
-		p.tenure.Replied(m.now, fmt.Sprint(e.from), e.message)
+		p.ownership.Replied(m.now, fmt.Sprint(e.from), e.message)
 	}
 	m.check(p)
 }
 
 func (m *model) dispatch(p *process) {
 	m.check(p)
-	allowed := p.tenure.Allowed(m.bears, m.slots)
-	if m.off && p.tenure.Mine() {
+	allowed := p.ownership.Allowed(m.bears, m.slots)
+	if m.off && p.ownership.Mine() {
 		allowed = m.slots
 	}
 	if len(p.ends) >= allowed {
--- a/core/home/size_test.go
+++ b/core/home/size_test.go
@@ -21,11 +21,11 @@
 		runtime.GC()
 		runtime.ReadMemStats(&before)
 		queues := make([]*admit.Queue, upstreams)
-		tenures := make([]*home.Tenure, upstreams)
+		ownerships := make([]*home.Ownership, upstreams)
 		for i := range queues {
 			queues[i] = admit.New(policy, admit.Limits{Slots: 2, Bears: 1})
-			tenures[i] = home.New(&rules, "u")
-			tenures[i].Claim(1, []string{"a", "b"})
+			ownerships[i] = home.New(&rules, "u")
+			ownerships[i].Claim(1, []string{"a", "b"})
 			for t := range uint64(20) {
 				queues[i].Offer(1, admit.Item{Ticket: t, Deadline: clock.Second})
 			}
@@ -34,7 +34,7 @@
 			}
 			queues[i].Due(3)
 			for at := clock.Milli(2); at <= rules.Wait()+20; at += 10 {
-				tenures[i].Check(at, at, func() []string { return nil })
+				ownerships[i].Check(at, at, func() []string { return nil })
 			}
 		}
 		runtime.GC()
@@ -44,6 +44,6 @@
 		if queues[0].Waiting()+queues[0].Running() > 0 {
 			b.Fatal(fmt.Sprint(queues[0].Waiting(), queues[0].Running()))
 		}
-		runtime.KeepAlive(tenures)
+		runtime.KeepAlive(ownerships)
 	}
 }
--- a/core/member/fleet_test.go
+++ b/core/member/fleet_test.go
@@ -82,7 +82,7 @@
 			case m.at > f.now || f.paused[to]:
 				f.mail = append(f.mail, m)
 			default:
-				f.post(to, f.views[to].Hear(f.now, m.from, m.send.Message))
+				f.post(to, f.views[to].Receive(f.now, m.from, m.send.Message))
 			}
 		}
 		for _, name := range f.names {
--- a/core/member/member_test.go
+++ b/core/member/member_test.go
@@ -88,7 +88,7 @@
 		f.run(10*clock.Second, func() bool { return f.all("d002", member.Dead) })
 		f.start("d002", 50)
 		f.run(20*clock.Second, f.whole)
-		f.post("d001", f.views["d000"].Hear(f.now, "d001", member.Message{Kind: member.News, Updates: []member.Update{old}}))
+		f.post("d001", f.views["d000"].Receive(f.now, "d001", member.Message{Kind: member.News, Updates: []member.Update{old}}))
 		f.run(clock.Second, never)
 		Expect(f.whole()).To(BeTrue())
 	})
@@ -119,7 +119,7 @@
 			{State: member.Alive, Incarnation: 1},
 			{Member: member.Member{Name: "x"}, State: -1, Incarnation: 1},
 		} {
-			v.Hear(0, "b", member.Message{Kind: member.News, Updates: []member.Update{u}})
+			v.Receive(0, "b", member.Message{Kind: member.News, Updates: []member.Update{u}})
 		}
 		Expect(v.Others()).To(BeEmpty())
 	})
--- a/core/member/hear.go
+++ b/core/member/receive.go
@@ -2,8 +2,8 @@
 
 import "jacinthferry/core/clock"
 
-// Hear takes a message from another daemon.
-func (v *View) Hear(now clock.Milli, from string, m Message) []Send {
+// Receive takes a message from another daemon.
+func (v *View) Receive(now clock.Milli, from string, m Message) []Send {
 	var news []Update
 	for _, u := range m.Updates {
 		if v.merge(now, u) {
--- a/core/query/course.go
+++ b/core/query/snapshot.go
@@ -68,7 +68,7 @@
 		if !q.shards[i].held {
 			continue
 		}
-		q.again(now, i)
+		q.resume(now, i)
 		if q.shards[i].open > 0 {
 			q.lead = i
 
@@ -85,13 +85,13 @@
 	q.planner.guard.Passed(q.mark, q.snapshot.Version)
 	for i := range q.shards {
 		if q.shards[i].held {
-			q.again(now, i)
+			q.resume(now, i)
 		}
 	}
 }
 
-// again sends a held shard its leg, or gives the shard up.
-func (q *Query) again(now clock.Milli, i int) {
+// resume sends a held shard its leg, or gives the shard up.
+func (q *Query) resume(now clock.Milli, i int) {
 	if q.shards[i].legs == 0 {
 		q.first(now, i)
 
--- a/core/submit/submit.go
+++ b/core/submit/submit.go
@@ -18,8 +18,8 @@
 	Resend bool
 }
 
-// Course is the way of one request over the upstreams of a snapshot's version.
-type Course struct {
+// Plan is the way of one request over the upstreams of a snapshot's version.
+type Plan struct {
 	request  Request
 	snapshot route.Snapshot
 	replicas []route.Replica
@@ -27,47 +27,47 @@
 	attempts int
 }
 
-// New returns a course that tries at most attempts upstreams, beginning with the one that start, a
+// New returns a plan that tries at most attempts upstreams, beginning with the one that start, a
 // random number, points at.
-func New(request Request, snapshot route.Snapshot, attempts int, start uint64) *Course {
-	c := &Course{request: request, snapshot: snapshot}
+func New(request Request, snapshot route.Snapshot, attempts int, start uint64) *Plan {
+	p := &Plan{request: request, snapshot: snapshot}
 	seen := make(map[string]bool)
 	for _, replicas := range snapshot.Shards {
 		for _, r := range replicas {
 			if !seen[r.Upstream] {
 				seen[r.Upstream] = true
-				c.replicas = append(c.replicas, r)
+				p.replicas = append(p.replicas, r)
 			}
 		}
 	}
-	c.attempts = min(attempts, len(c.replicas))
-	if n := len(c.replicas); n > 0 {
+	p.attempts = min(attempts, len(p.replicas))
+	if n := len(p.replicas); n > 0 {
 		at := int(start % uint64(n))
-		c.replicas = append(c.replicas[at:n:n], c.replicas[:at]...)
+		p.replicas = append(p.replicas[at:n:n], p.replicas[:at]...)
 	}
 
-	return c
+	return p
 }
 
 // Next returns the leg to send and where, or false when there is nobody left to ask or no time.
-func (c *Course) Next(now clock.Milli) (leg.Leg, route.Replica, bool) {
-	if c.attempt == c.attempts || now >= c.request.Deadline {
+func (p *Plan) Next(now clock.Milli) (leg.Leg, route.Replica, bool) {
+	if p.attempt == p.attempts || now >= p.request.Deadline {
 		return leg.Leg{}, route.Replica{}, false
 	}
-	r := c.replicas[c.attempt]
+	r := p.replicas[p.attempt]
 	l := leg.Leg{
-		Request: c.request.ID, Service: c.request.Service, Version: c.snapshot.Version, Upstream: r.Upstream,
-		Snapshot: c.snapshot.Name, Deadline: c.request.Deadline, Attempt: c.attempt,
-		Priority: c.request.Priority, Submit: true, Body: []byte(c.request.Body),
+		Request: p.request.ID, Service: p.request.Service, Version: p.snapshot.Version, Upstream: r.Upstream,
+		Snapshot: p.snapshot.Name, Deadline: p.request.Deadline, Attempt: p.attempt,
+		Priority: p.request.Priority, Submit: true, Body: []byte(p.request.Body),
 	}
-	c.attempt++
+	p.attempt++
 
 	return l, r, true
 }
 
-// Again reports whether the result allows the request to be sent to another upstream: only a
+// Retryable reports whether the result allows the request to be sent to another upstream: only a
 // refusal that says for sure that it was not run does.
-func Again(result leg.Result) bool {
+func Retryable(result leg.Result) bool {
 	return result.Refusal != nil && result.Refusal.Run == reason.No
 }
 
--- a/io/control/control.go
+++ b/io/control/control.go
@@ -79,7 +79,7 @@
 	// These are read by any thread.
 	snapshot atomic.Pointer[manifest.Snapshot]
 	roster   atomic.Pointer[roster]
-	tenure   atomic.Pointer[tenure]
+	standing atomic.Pointer[standing]
 	closed   atomic.Pointer[closedTo]
 	latest   atomic.Pointer[route.Table]
 	watching atomic.Bool
--- a/io/control/control_test.go
+++ b/io/control/control_test.go
@@ -66,7 +66,7 @@
 		late.Opened("d000")
 		Eventually(func() uint64 { return late.highest.Load() }).WithTimeout(patience).
 			Should(Equal(f.get("d000").highest.Load()))
-		Eventually(func() bool { _, holds := late.Tenure(); return holds }).WithTimeout(patience).Should(BeTrue())
+		Eventually(func() bool { _, holds := late.Standing(); return holds }).WithTimeout(patience).Should(BeTrue())
 	})
 
 	It("gives a restarted daemon nothing older than what was accepted", func(ctx SpecContext) {
--- a/io/control/holding.go
+++ b/io/control/holding.go
@@ -211,7 +211,7 @@
 // Allow is asked just before work is sent to an upstream. It returns nil, or why that must not be.
 func (c *Control) Allow(u config.Upstream) *reason.Refusal {
 	closed := c.closed.Load()
-	switch _, holds := c.Tenure(); {
+	switch _, holds := c.Standing(); {
 	case !holds:
 		return reason.New(reason.Home, reason.No, "this daemon may have been replaced as home")
 	case closed.zones[u.Zone]:
--- a/io/control/links.go
+++ b/io/control/links.go
@@ -19,7 +19,7 @@
 func (e peered) apply(c *Control) {
 	now := c.ports.Now()
 	if m := e.message.Member; m != nil {
-		c.send(c.view.Hear(now, e.from, *m))
+		c.send(c.view.Receive(now, e.from, *m))
 		c.pass(c.spread.Noticed(now, e.from, m.Revision))
 	}
 	if m := e.message.Spread; m != nil {
--- a/io/control/tenure.go
+++ b/io/control/standing.go
@@ -10,19 +10,19 @@
 	quietLimit = 1500 * clock.Millisecond
 )
 
-// tenure is the daemon's standing as of one tick.
-type tenure struct {
+// standing is the daemon's standing as of one tick.
+type standing struct {
 	epoch  uint64
 	ticked clock.Milli
 	heard  clock.Milli
 	joined bool
 }
 
-// Tenure returns the epoch of this daemon's standing as a home, and whether it holds at this very
+// Standing returns the epoch of this daemon's standing as a home, and whether it holds at this very
 // moment. It reads the daemon's own monotonic clock, so that one which was paused finds out before
 // its next effect, even before its control thread has run again.
-func (c *Control) Tenure() (uint64, bool) {
-	t := c.tenure.Load()
+func (c *Control) Standing() (uint64, bool) {
+	t := c.standing.Load()
 	now := c.ports.Now()
 
 	return t.epoch, t.joined && now-t.ticked < pauseLimit && now-t.heard < quietLimit
@@ -30,7 +30,7 @@
 
 // present publishes the standing as of now.
 func (c *Control) present(now clock.Milli) {
-	c.tenure.Store(&tenure{
+	c.standing.Store(&standing{
 		epoch: c.view.Self().Incarnation, ticked: now, heard: c.view.Heard(now), joined: c.joined,
 	})
 }
--- a/io/control/store.go
+++ b/io/control/store.go
@@ -87,7 +87,7 @@
 
 func (c *Control) takeSeat(ctx context.Context) (store.Lease, error) {
 	self := c.ports.Self
-	epoch, _ := c.Tenure()
+	epoch, _ := c.Standing()
 	value, err := json.Marshal(seat{self.Name, self.Zone, self.Caller, self.Peer, self.Operator, epoch})
 	if err != nil {
 		return store.Lease{}, err
--- a/io/daemon/control.go
+++ b/io/daemon/control.go
@@ -48,12 +48,12 @@
 func (d *Daemon) guarded(run queryFunc) queryFunc {
 	return func(ctx context.Context, r query.Request) (*query.Reply, error) {
 		<-d.assembled
-		before, holds := d.control.Tenure()
+		before, holds := d.control.Standing()
 		if d.Ready() && !holds {
 			return nil, reason.New(reason.Draining, reason.No, "this daemon stood still and is not back yet")
 		}
 		reply, err := run(ctx, r)
-		after, holds := d.control.Tenure()
+		after, holds := d.control.Standing()
 		var refusal *reason.Refusal
 		if errors.As(err, &refusal) && (before != after || !holds) {
 			return nil, reason.New(reason.Cancelled, refusal.Run, "this daemon stood still: "+refusal.Detail)
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -158,7 +158,7 @@
 	default:
 		return false
 	}
-	_, ok := d.control.Tenure()
+	_, ok := d.control.Standing()
 
 	return ok
 }
--- a/io/peer/frame_test.go
+++ b/io/peer/frame_test.go
@@ -46,7 +46,7 @@
 				handed++
 				if c.Member != nil {
 					v := member.New(0, member.Member{Name: "self"}, 1, member.Default(), 1)
-					v.Hear(1, "a", *c.Member)
+					v.Receive(1, "a", *c.Member)
 					v.Tick(2)
 				}
 				if c.Spread != nil {
--- a/io/traffic/home.go
+++ b/io/traffic/home.go
@@ -29,10 +29,10 @@
 
 // post is what a lane knows of one upstream that it schedules or did schedule.
 type post struct {
-	config  config.Upstream
-	queue   *admit.Queue
-	tenure  *home.Tenure
-	service string
+	config    config.Upstream
+	queue     *admit.Queue
+	ownership *home.Ownership
+	service   string
 	// used is set once legs were sent, so that connections may be open.
 	used bool
 }
@@ -53,7 +53,7 @@
 		return
 	}
 	p.service = e.leg.Service
-	if l.settle(now, p); p.queue.Allowed() == 0 && !p.tenure.Soon(now) {
+	if l.settle(now, p); p.queue.Allowed() == 0 && !p.ownership.Soon(now) {
 		e.respond(leg.Refused(reason.Home, reason.No, l.group.ports.Self+" may not send to "+e.leg.Upstream))
 
 		return
@@ -145,7 +145,7 @@
 	}
 	p := &post{
 		config: u, queue: admit.New(l.group.ports.Admit, limits(u)),
-		tenure: home.New(&l.group.ports.Rules, upstream),
+		ownership: home.New(&l.group.ports.Rules, upstream),
 	}
 	p.queue.Cap(l.now(), l.unheld(u))
 	l.posts[upstream] = p
--- a/io/traffic/tenure.go
+++ b/io/traffic/ownership.go
@@ -13,10 +13,10 @@
 	"jacinthferry/io/timer"
 )
 
-// tickWait is the time between two looks at the tenures and at lost legs.
+// tickWait is the time between two looks at the ownerships and at lost legs.
 const tickWait = 25 * time.Millisecond
 
-// tick keeps the lanes' tenures moving until ctx ends.
+// tick keeps the lanes' ownerships moving until ctx ends.
 func (g *Group) tick(ctx context.Context) {
 	timer.Every(ctx, tickWait, func() {
 		for _, l := range g.lanes {
@@ -71,16 +71,16 @@
 		p := l.post(name)
 		p.config, _ = table.Upstream(name)
 		p.queue.Limit(limits(p.config))
-		if !p.tenure.Mine() {
+		if !p.ownership.Mine() {
 			l.carry(p, p.queue.Chill(now, reason.Home))
 			l.record(p, event.Home, "")
 			go l.group.ports.Prepare(p.config)
 		}
-		l.tell(p.tenure.Claim(now, l.others(p)))
+		l.tell(p.ownership.Claim(now, l.others(p)))
 	}
 	for name, p := range l.posts {
 		if !mine[name] {
-			p.tenure.Release(now)
+			p.ownership.Release(now)
 		}
 	}
 	l.review(now)
@@ -90,17 +90,17 @@
 
 func (ticked) apply(l *lane) { l.review(l.now()) }
 
-// review brings every tenure up to date.
+// review brings every ownership up to date.
 func (l *lane) review(now clock.Milli) {
 	settled := l.group.ports.Table() != nil
 	for name, p := range l.posts {
 		l.settle(now, p)
 		l.carry(p, p.queue.Due(now))
 		l.confirm(p)
-		if p.tenure.Mine() && !p.tenure.Held() {
+		if p.ownership.Mine() && !p.ownership.Held() {
 			settled = false
 		}
-		if p.tenure.Idle(now) && p.queue.Running() == 0 {
+		if p.ownership.Idle(now) && p.queue.Running() == 0 {
 			l.leave(name, p)
 		}
 	}
@@ -116,22 +116,22 @@
 	delete(l.posts, name)
 }
 
-// settle brings one tenure up to date and bounds the queue by it.
+// settle brings one ownership up to date and bounds the queue by it.
 func (l *lane) settle(now clock.Milli, p *post) {
 	if !l.group.ports.Hold {
 		return
 	}
-	was := p.tenure.Held()
-	l.tell(p.tenure.Check(now, l.confirmed(now), func() []string { return l.others(p) }))
-	if is := p.tenure.Held(); is != was && p.tenure.Mine() {
+	was := p.ownership.Held()
+	l.tell(p.ownership.Check(now, l.confirmed(now), func() []string { return l.others(p) }))
+	if is := p.ownership.Held(); is != was && p.ownership.Mine() {
 		l.group.ports.Record(event.Event{
 			Kind: event.Home, Reason: heldWord(is), Service: p.service, Upstream: p.config.Name,
-			Detail: p.tenure.Describe(now),
+			Detail: p.ownership.Describe(now),
 		})
 	}
-	allowed := p.tenure.Allowed(p.config.Bears, p.config.Slots)
+	allowed := p.ownership.Allowed(p.config.Bears, p.config.Slots)
 	l.carry(p, p.queue.Cap(now, allowed))
-	if allowed == 0 && p.queue.Waiting() > 0 && !p.tenure.Soon(now) {
+	if allowed == 0 && p.queue.Waiting() > 0 && !p.ownership.Soon(now) {
 		l.carry(p, p.queue.Drain(reason.Home))
 	}
 }
@@ -149,7 +149,7 @@
 	if p.queue.Running() > 0 {
 		return
 	}
-	if s, ok := p.tenure.Ended(); ok {
+	if s, ok := p.ownership.Ended(); ok {
 		l.tell([]home.Send{s})
 	}
 }
@@ -223,7 +223,7 @@
 
 func (e linked) apply(l *lane) {
 	for _, p := range l.posts {
-		l.tell(p.tenure.Linked(e.name))
+		l.tell(p.ownership.Linked(e.name))
 	}
 }
 
@@ -248,10 +248,10 @@
 	if e.message.Kind == home.Ask {
 		claimant := place.Member{Name: e.from, Zone: e.message.Zone}
 		behind := place.Before(p.config.Name, p.config.Zone, l.member(l.group.ports.Self), claimant)
-		s := p.tenure.Asked(now, e.from, e.message.Epoch, behind, p.queue.Running())
+		s := p.ownership.Asked(now, e.from, e.message.Epoch, behind, p.queue.Running())
 		l.tell([]home.Send{s})
 	} else {
-		p.tenure.Replied(now, e.from, e.message)
+		p.ownership.Replied(now, e.from, e.message)
 	}
 	l.settle(now, p)
 }
--- a/io/traffic/submit.go
+++ b/io/traffic/submit.go
@@ -80,10 +80,10 @@
 	if !ok {
 		return leg.Refused(reason.Replica, reason.No, "no live upstream for "+r.Service)
 	}
-	course := submit.New(r, snapshot, g.ports.Policy.Attempts, rand.Uint64())
+	plan := submit.New(r, snapshot, g.ports.Policy.Attempts, rand.Uint64())
 	result := leg.Refused(reason.Deadline, reason.No, "no time left")
 	for {
-		l, replica, more := course.Next(g.ports.Now())
+		l, replica, more := plan.Next(g.ports.Now())
 		if !more {
 			return result
 		}
@@ -93,7 +93,7 @@
 			})
 		}
 		result = submit.Check(l, g.submitLeg(ctx, replica.Home, l))
-		if !submit.Again(result) {
+		if !submit.Retryable(result) {
 			return result
 		}
 	}
