Ask shards that were left out when others are gone

Cause: a query that left two slow shards out failed at once when a third one could not answer, though the slow ones would have, late.

Change: such shards are asked then, as many as the answer needs.

Tried and left out: asking them also when half, 0.6 or 0.75 of the time is over without an answer.

--- a/core/gather/crowd.go
+++ b/core/gather/crowd.go
@@ -47,13 +47,25 @@
 	for _, o := range outlooks[least:] {
 		if o.whole() > skipPart*q.route.Objective {
 			q.giveUp(o.shard)
-			q.unasked++
+			q.unasked = append(q.unasked, o.shard)
 		}
 	}
 
 	return false
 }
 
+// askRest asks shards that were left out when an answer cannot do without them, because others are gone.
+func (q *Query) askRest(now clock.Milli) {
+	for len(q.unasked) > 0 && q.hopeless() && now < q.end() {
+		i := q.unasked[0]
+		q.unasked = q.unasked[1:]
+		q.shards[i].gone = false
+		q.shards[i].why = ""
+		q.waiting++
+		q.try(now, i)
+	}
+}
+
 // refuseAt refuses the request because it would wait too long at a shard.
 func (q *Query) refuseAt(now clock.Milli, o outlook, longest clock.Milli) {
 	name := q.shards[o.shard].service.Name
--- a/core/gather/outcome.go
+++ b/core/gather/outcome.go
@@ -56,6 +56,7 @@
 	if q.done {
 		return
 	}
+	q.askRest(now)
 	if q.waiting == 0 || q.hopeless() || now >= q.end() || (q.enough() && now >= q.partialAt()) {
 		q.finish(now)
 	}
@@ -63,7 +64,7 @@
 
 func (q *Query) finish(now clock.Milli) {
 	q.done = true
-	outcome := Outcome{Unasked: q.unasked}
+	outcome := Outcome{Unasked: len(q.unasked)}
 	switch {
 	case q.enough():
 		for i := range q.shards {
--- a/core/gather/query.go
+++ b/core/gather/query.go
@@ -69,8 +69,8 @@
 	covered  int
 	// waiting is how many shards are neither covered nor gone.
 	waiting int
-	// unasked is how many shards were left out because they would answer too late.
-	unasked int
+	// unasked are the shards that were left out because they would answer too late.
+	unasked []int
 	// detail says what a refusal was decided on.
 	detail string
 	done   bool
--- a/core/gather/query_test.go
+++ b/core/gather/query_test.go
@@ -447,6 +447,39 @@
 		Expect(end[0].Outcome.Unasked).To(Equal(2))
 	})
 
+	It("asks the slowest shards, as many as needed, once others are gone", func() {
+		d := newDesk(20, 2, lookup)
+		for i := range 2 {
+			service := d.view.Config.Services[fmt.Sprintf("shard%d", i)]
+			for _, u := range d.view.Usable(service.Name) {
+				d.fleet.Sent(start-200, service, u)
+				d.fleet.Answered(start-1, start-200, 0, u, &balance.Load{Running: 1, Slots: 2})
+			}
+		}
+		q, sends := d.begin(start)
+		sends = kinds(sends, gather.Send)
+		Expect(sends).To(HaveLen(18))
+		for _, a := range sends[:17] {
+			Expect(q.Answered(start+20, a.Number, good)).To(BeEmpty())
+		}
+		// The last one fails until it may not be tried again.
+		broken := gather.Result{Sent: true, Run: reason.Unknown, Reason: reason.Failed}
+		open := sends[17:]
+		for now := start + 21; len(open) > 0 && open[0].Service.Name == "shard19"; now += 5 {
+			open = kinds(q.Answered(now, open[0].Number, broken), gather.Send)
+			if len(open) == 0 {
+				open = kinds(q.Due(now+4), gather.Send)
+			}
+		}
+		Expect(open).To(HaveLen(1))
+		Expect(open[0].Service.Name).To(Or(Equal("shard0"), Equal("shard1")))
+		end := kinds(q.Answered(start+300, open[0].Number, good), gather.Finish)
+		Expect(end).To(HaveLen(1))
+		Expect(end[0].Outcome.Refusal).To(BeNil())
+		Expect(end[0].Outcome.Legs).To(HaveLen(18))
+		Expect(end[0].Outcome.Unasked).To(Equal(1))
+	})
+
 	It("sends no second leg to where it would wait", func() {
 		d := newDesk(2, 2, lookup)
 		q, sends := d.begin(start)
