--- a/core/gather/desk.go
+++ b/core/gather/desk.go
@@ -96,12 +96,7 @@
 		q.shards[i].trial = d.tries(view, name)
 		d.budget(now, name).Earn(now)
 	}
-	if !q.refuseHopeless(now) && !q.refuseCrowded(now) {
-		for i := range q.shards {
-			q.try(now, i)
-		}
-		q.settle(now)
-	}
+	q.begin(now)
 
 	return q, d.actions
 }
--- a/core/gather/crowd.go
+++ b/core/gather/overload.go
@@ -31,27 +31,34 @@
 
 func (o outlook) whole() clock.Milli { return o.wait + o.work }
 
-// refuseCrowded refuses a request that would wait too long for slots, before it is sent. It is for
-// several times the load that the upstreams bear: without it queues grow until every answer is late.
-// Of a request that is sent, shards are left out that would answer too late and that the answer can do
-// without. That is for a few shards all of whose upstreams are slow: each of them then gets the
-// requests that need it, not all.
-func (q *Query) refuseCrowded(now clock.Milli) bool {
-	outlooks := q.outlooks(now)
-	least := q.least()
-	if o, longest := outlooks[least-1], q.longestWait(now, outlooks[least-1]); o.wait > longest {
-		q.refuseAt(now, o, longest)
-
-		return true
+// refuseOverloaded refuses a request that would wait too long for slots at the last shard that its answer
+// needs, before it is sent. It is for several times the load that the upstreams bear: without it queues
+// grow until every answer is late.
+func (q *Query) refuseOverloaded(now clock.Milli, outlooks []outlook) bool {
+	last := outlooks[q.least()-1]
+	longest := q.longestWait(now, last)
+	if last.wait <= longest {
+		return false
+	}
+	name := q.shards[last.shard].service.Name
+	q.detail = fmt.Sprintf("%s would wait %.0f ms for a slot, at most %.0f", name, last.wait, longest)
+	for i := range q.shards {
+		q.shards[i].why = reason.Overload
 	}
-	for _, o := range outlooks[least:] {
+	q.finish(now)
+
+	return true
+}
+
+// leaveOut gives up shards that would answer too late and that the answer can do without. It is for a few
+// shards all of whose upstreams are slow: each of them then gets the requests that need it, not all.
+func (q *Query) leaveOut(outlooks []outlook) {
+	for _, o := range outlooks[q.least():] {
 		if o.whole() > skipPart*q.route.Objective {
 			q.giveUp(o.shard)
 			q.unasked = append(q.unasked, o.shard)
 		}
 	}
-
-	return false
 }
 
 // askRest asks shards that were left out when an answer cannot do without them, because others are gone.
@@ -66,16 +73,6 @@
 	}
 }
 
-// refuseAt refuses the request because it would wait too long at a shard.
-func (q *Query) refuseAt(now clock.Milli, o outlook, longest clock.Milli) {
-	name := q.shards[o.shard].service.Name
-	q.detail = fmt.Sprintf("%s would wait %.0f ms for a slot, at most %.0f", name, o.wait, longest)
-	for i := range q.shards {
-		q.shards[i].why = reason.Overload
-	}
-	q.finish(now)
-}
-
 // longestWait is how long a request may wait for a slot at a shard.
 func (q *Query) longestWait(now clock.Milli, o outlook) clock.Milli {
 	if o.work > slowPart*q.route.Objective {
--- a/core/gather/query.go
+++ b/core/gather/query.go
@@ -79,6 +79,22 @@
 // Done reports whether the caller was told.
 func (q *Query) Done() bool { return q.done }
 
+// begin sends the first legs, or refuses the request.
+func (q *Query) begin(now clock.Milli) {
+	if q.refuseHopeless(now) {
+		return
+	}
+	outlooks := q.outlooks(now)
+	if q.refuseOverloaded(now, outlooks) {
+		return
+	}
+	q.leaveOut(outlooks)
+	for i := range q.shards {
+		q.try(now, i)
+	}
+	q.settle(now)
+}
+
 // Answered takes the result of a leg.
 func (q *Query) Answered(now clock.Milli, number int, result Result) []Action {
 	q.desk.actions = q.desk.actions[:0]
--- a/core/gather/query_test.go
+++ b/core/gather/query_test.go
@@ -393,20 +393,21 @@
 })
 
 var _ = Describe("A query whose upstreams have long queues", func() {
-	// crowd lets upstreams of the first shards report that requests wait.
-	crowd := func(d *desk, shards int) {
+	// report has the upstreams of the first shards take a span for a request and report a load with it.
+	report := func(d *desk, shards int, span clock.Milli, load *balance.Load) {
 		for i := range shards {
 			service := d.view.Config.Services[fmt.Sprintf("shard%d", i)]
 			for _, u := range d.view.Usable(service.Name) {
-				d.fleet.Sent(start-100, service, u)
-				d.fleet.Answered(start-1, start-100, 0, u, &balance.Load{Running: 2, Waiting: 8, Slots: 2})
+				d.fleet.Sent(start-1-span, service, u)
+				d.fleet.Answered(start-1, start-1-span, 0, u, load)
 			}
 		}
 	}
+	queues := &balance.Load{Running: 2, Waiting: 8, Slots: 2}
 
 	It("is refused at once as not run, and told when to come back", func() {
 		d := newDesk(20, 2, lookup)
-		crowd(d, 3)
+		report(d, 3, 99, queues)
 		_, actions := d.begin(start)
 		Expect(kinds(actions, gather.Send)).To(BeEmpty())
 		end := kinds(actions, gather.Finish)
@@ -421,20 +422,14 @@
 
 	It("is sent when its answer can do without the shards that have them", func() {
 		d := newDesk(20, 2, lookup)
-		crowd(d, 2)
+		report(d, 2, 99, queues)
 		_, actions := d.begin(start)
 		Expect(kinds(actions, gather.Send)).To(HaveLen(20))
 	})
 
 	It("leaves out the slowest shards and tells that they are missing", func() {
 		d := newDesk(20, 2, lookup)
-		for i := range 2 {
-			service := d.view.Config.Services[fmt.Sprintf("shard%d", i)]
-			for _, u := range d.view.Usable(service.Name) {
-				d.fleet.Sent(start-200, service, u)
-				d.fleet.Answered(start-1, start-200, 0, u, &balance.Load{Running: 1, Slots: 2})
-			}
-		}
+		report(d, 2, 199, &balance.Load{Running: 1, Slots: 2})
 		q, sends := d.begin(start)
 		sends = kinds(sends, gather.Send)
 		Expect(sends).To(HaveLen(18))
@@ -449,13 +444,7 @@
 
 	It("asks the slowest shards, as many as needed, once others are gone", func() {
 		d := newDesk(20, 2, lookup)
-		for i := range 2 {
-			service := d.view.Config.Services[fmt.Sprintf("shard%d", i)]
-			for _, u := range d.view.Usable(service.Name) {
-				d.fleet.Sent(start-200, service, u)
-				d.fleet.Answered(start-1, start-200, 0, u, &balance.Load{Running: 1, Slots: 2})
-			}
-		}
+		report(d, 2, 199, &balance.Load{Running: 1, Slots: 2})
 		q, sends := d.begin(start)
 		sends = kinds(sends, gather.Send)
 		Expect(sends).To(HaveLen(18))
@@ -489,7 +478,7 @@
 		}
 		service := d.view.Config.Services["shard0"]
 		d.fleet.Sent(start, service, second)
-		d.fleet.Answered(start+59, start, 0, second, &balance.Load{Running: 2, Waiting: 8, Slots: 2})
+		d.fleet.Answered(start+59, start, 0, second, queues)
 		late := kinds(q.Due(start+60), gather.Send)
 		Expect(late).To(HaveLen(1))
 		Expect(late[0].Service.Name).To(Equal("shard1"))
--- a/core/gather/world_test.go
+++ b/core/gather/world_test.go
@@ -90,7 +90,7 @@
 	// worldRate is how many queries a second the servers bear: each has two slots, and stands still for
 	// a part of the time.
 	worldRate = 2 * serverSlots * float64(clock.Second/workMean) * (1 - float64(pauseSpan/pauseEvery))
-	crowdRate = 90
+	burstRate = 90
 )
 
 // world plays a load against the desks of several daemons in virtual time.
@@ -110,8 +110,8 @@
 	covered                        float64
 	// lossAsked and lossInTime count the queries that come while answers are lost.
 	lossAsked, lossInTime int
-	// crowd counts the queries that come during a burst, and quick those of them that are less urgent.
-	crowd, quick tally
+	// urgent and quick count the queries that come during a burst, quick those that are less urgent.
+	urgent, quick tally
 }
 
 // tally counts how queries end.
@@ -167,7 +167,7 @@
 // arrive lets queries come, by a Poisson process.
 func (w *world) arrive() {
 	rate := w.load.perSecond
-	if w.crowded(w.now) {
+	if w.bursting(w.now) {
 		rate *= w.load.burst
 	}
 	w.after(clock.Milli(-math.Log(1-w.random.Float64())/rate)*clock.Second, func() {
@@ -178,8 +178,8 @@
 	})
 }
 
-// crowded reports whether there is a burst at an instant.
-func (w *world) crowded(now clock.Milli) bool {
+// bursting reports whether there is a burst at an instant.
+func (w *world) bursting(now clock.Milli) bool {
 	return w.load.burst > 0 && now >= start+5*clock.Second && now < start+8*clock.Second
 }
 
@@ -203,7 +203,7 @@
 	if w.load.quick > 0 && w.random.Float64() < w.load.quick {
 		route = w.quickRoute
 	}
-	if w.crowded(w.now) {
+	if w.bursting(w.now) {
 		w.tally(route).asked++
 	}
 	w.come(&visit{route: route, began: w.now, arrived: w.now, seen: map[string]bool{}})
@@ -214,7 +214,7 @@
 		return &w.quick
 	}
 
-	return &w.crowd
+	return &w.urgent
 }
 
 // come brings a caller to one of the daemons.
@@ -256,14 +256,10 @@
 
 		return
 	}
-	if inTime {
-		w.inTime++
-		w.covered += float64(len(outcome.Legs)) / worldShards
+	if inTime && !v.again {
+		w.countInTime(v, outcome)
 	}
-	if inTime && losing(v.began) {
-		w.lossInTime++
-	}
-	if !w.crowded(v.began) {
+	if !w.bursting(v.began) {
 		return
 	}
 	t := w.tally(v.route)
@@ -280,6 +276,16 @@
 	}
 }
 
+// countInTime counts an answer to a first try. The objective of a caller that was refused counts anew only
+// in the tally of a burst.
+func (w *world) countInTime(v *visit, outcome *gather.Outcome) {
+	w.inTime++
+	w.covered += float64(len(outcome.Legs)) / worldShards
+	if losing(v.began) {
+		w.lossInTime++
+	}
+}
+
 func (w *world) send(v *visit, a gather.Action) {
 	s := w.servers[a.Upstream.ID]
 	ended := func(in clock.Milli, r gather.Result) {
@@ -374,21 +380,21 @@
 
 	for _, burst := range []float64{4, 8, 16} {
 		It(fmt.Sprintf("refuse at once what they cannot answer in time under %g times the load", burst), func() {
-			w := newLoadWorld(load{perSecond: crowdRate, burst: burst, reports: true})
+			w := newLoadWorld(load{perSecond: burstRate, burst: burst, reports: true})
 			w.run()
-			_, _ = fmt.Fprintf(GinkgoWriter, "%g times the load: %+v, %.3f in time, %.3f failed late\n", burst, w.crowd,
-				w.crowd.part(w.crowd.inTime), w.crowd.part(w.crowd.failed))
+			_, _ = fmt.Fprintf(GinkgoWriter, "%g times the load: %+v, %.3f in time, %.3f failed late\n", burst, w.urgent,
+				w.urgent.part(w.urgent.inTime), w.urgent.part(w.urgent.failed))
 			// Half of what the upstreams bear is answered in time, and nobody waits for a refusal.
-			Expect(w.crowd.part(w.crowd.inTime)).To(BeNumerically(">=", 0.5*worldRate/(crowdRate*burst)))
-			Expect(w.crowd.part(w.crowd.failed)).To(BeNumerically("<=", 0.01))
+			Expect(w.urgent.part(w.urgent.inTime)).To(BeNumerically(">=", 0.5*worldRate/(burstRate*burst)))
+			Expect(w.urgent.part(w.urgent.failed)).To(BeNumerically("<=", 0.01))
 		})
 
 		It(fmt.Sprintf("serve urgent and less urgent queries alike under %g times the load", burst), func() {
-			w := newLoadWorld(load{perSecond: crowdRate, burst: burst, reports: true, quick: 0.25})
+			w := newLoadWorld(load{perSecond: burstRate, burst: burst, reports: true, quick: 0.25})
 			w.run()
-			urgent, quick := w.crowd.part(w.crowd.inTime+w.crowd.late), w.quick.part(w.quick.inTime+w.quick.late)
+			urgent, quick := w.urgent.part(w.urgent.inTime+w.urgent.late), w.quick.part(w.quick.inTime+w.quick.late)
 			_, _ = fmt.Fprintf(GinkgoWriter, "%g times the load with quick ones: %+v %+v, answered %.3f %.3f\n", burst,
-				w.crowd, w.quick, urgent, quick)
+				w.urgent, w.quick, urgent, quick)
 			Expect(quick).To(BeNumerically("<=", urgent+0.05))
 			Expect(quick).To(BeNumerically(">=", urgent/4))
 			Expect(w.quick.part(w.quick.failed)).To(BeNumerically("<=", 0.01))
@@ -397,18 +403,18 @@
 
 	for _, narrow := range []int{1, 2, 3, 4} {
 		It(fmt.Sprintf("answer what they can while all copies of %d shards are slow", narrow), func() {
-			w := newLoadWorld(load{perSecond: crowdRate, burst: 1, reports: true, narrow: narrow, slowTimes: 8, quick: 0.25})
+			w := newLoadWorld(load{perSecond: burstRate, burst: 1, reports: true, narrow: narrow, slowTimes: 8, quick: 0.25})
 			w.run()
-			_, _ = fmt.Fprintf(GinkgoWriter, "%d slow shards: %+v %+v\n", narrow, w.crowd, w.quick)
+			_, _ = fmt.Fprintf(GinkgoWriter, "%d slow shards: %+v %+v\n", narrow, w.urgent, w.quick)
 			// Urgent answers need all but two of the shards, less urgent ones all but five.
 			needed := max(0, narrow-2)
 			share := 1.0
 			if needed > 0 {
-				share = min(share, 0.5*float64(narrow)*worldRate/8/(0.75*crowdRate*float64(needed)))
+				share = min(share, 0.5*float64(narrow)*worldRate/8/(0.75*burstRate*float64(needed)))
 			}
-			Expect(w.crowd.part(w.crowd.inTime + w.crowd.late)).To(BeNumerically(">=", share-0.02))
+			Expect(w.urgent.part(w.urgent.inTime + w.urgent.late)).To(BeNumerically(">=", share-0.02))
 			// One in ten at most waits until its deadline for nothing.
-			Expect(w.crowd.part(w.crowd.failed)).To(BeNumerically("<=", 0.1))
+			Expect(w.urgent.part(w.urgent.failed)).To(BeNumerically("<=", 0.1))
 			Expect(w.quick.part(w.quick.inTime)).To(BeNumerically(">=", 0.97))
 		})
 	}
--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -157,22 +157,37 @@
 	if news {
 		s.until = max(s.until, now+min(e.Left, max(l.terms.Window, l.terms.Hold)))
 	}
-	if s.held || len(s.crashes) < l.terms.Crashes || l.held >= l.terms.Limit {
+	if len(s.crashes) < l.terms.Crashes {
 		return news, false
 	}
-	s.held = true
-	s.until = now + l.terms.Hold
+	span := l.terms.Hold
 	if len(e.Crashes) >= l.terms.Crashes {
 		// The other daemon's quarantine, which must not outlast its own by being passed on.
-		s.until = now + min(e.Left, l.terms.Hold)
+		span = min(e.Left, span)
 	}
-	l.held++
 
-	return news, true
+	return news, l.hold(s, now+span)
+}
+
+// Hold puts a request into quarantine whose crashes are not known here.
+func (l *List) Hold(now clock.Milli, p Print) {
+	s := l.suspect(now, p)
+	if s == nil {
+		s = l.room(now, p)
+	}
+	l.hold(s, now+l.terms.Hold)
 }
 
-// Empty reports whether nothing is known against any request.
-func (l *List) Empty() bool { return len(l.suspects) == 0 }
+// hold puts a request into quarantine until an instant, and reports whether it was not and there is room.
+func (l *List) hold(s *suspect, until clock.Milli) bool {
+	if s.held || l.held >= l.terms.Limit {
+		return false
+	}
+	s.held, s.until = true, until
+	l.held++
+
+	return true
+}
 
 // Entries returns everything that a new daemon has to know.
 func (l *List) Entries(now clock.Milli) []Entry {
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -52,7 +52,7 @@
 	mu      sync.Mutex
 	fleet   *balance.Fleet
 	desk    *gather.Desk
-	crashes *crashes
+	crashes *quarantine.Crashes
 }
 
 // New returns a gateway.
@@ -60,7 +60,7 @@
 	fleet := balance.New(balance.Rules{Zone: ports.Zone, Daemons: ports.Daemons, Uniform: rand.Float64})
 
 	return &Gateway{
-		ports: ports, pool: newPool(), fleet: fleet, crashes: newCrashes(),
+		ports: ports, pool: newPool(), fleet: fleet, crashes: quarantine.NewCrashes(),
 		desk: gather.New(ports.Policy, fleet, ports.Daemons, rand.Float64),
 	}
 }
@@ -93,7 +93,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.desk.Keep(now, view)
-	g.crashes.keep(now)
+	g.crashes.Keep(now)
 }
 
 // Serve answers a call. It returns an answer with neither reply nor refusal when the caller left.
@@ -141,5 +141,5 @@
 		Detail: "upstreams of " + service + " crashed that ran it, run no",
 	})
 
-	return Answer{Refusal: reason.New(reason.Quarantine, reason.No, ""), Retry: quarantineSpan}
+	return Answer{Refusal: reason.New(reason.Quarantine, reason.No, ""), Retry: quarantine.Span}
 }
--- a/io/gateway/sender.go
+++ b/io/gateway/sender.go
@@ -9,6 +9,7 @@
 	"jacinthferry/core/clock"
 	"jacinthferry/core/event"
 	"jacinthferry/core/gather"
+	"jacinthferry/core/quarantine"
 	"jacinthferry/core/reason"
 )
 
@@ -125,7 +126,7 @@
 		Detail: err.Error(),
 	})
 	if sent && !isTimeout(err) {
-		go s.gateway.examine(s.call, u, visit{sent: at, broken: s.gateway.ports.Now()})
+		go s.gateway.examine(s.call, u, quarantine.Visit{Sent: at, Broken: s.gateway.ports.Now()})
 	}
 
 	return gather.Result{Run: run, Reason: reason.Failed, Sent: sent}
--- a/io/journal/held.go
+++ b/io/journal/held.go
@@ -26,11 +26,22 @@
 
 func newHeld() *held { return &held{now: make(map[string][]event.Event)} }
 
+// turn forgets the events that were held for long, and returns them.
+func (h *held) turn(at clock.Milli) []event.Event {
+	if at-h.turned < heldSpan {
+		return nil
+	}
+	var gone []event.Event
+	for _, list := range h.old {
+		gone = append(gone, list...)
+	}
+	h.turned, h.old, h.now = at, h.now, make(map[string][]event.Event)
+
+	return gone
+}
+
 // add holds an event. It reports false when there is no room.
 func (h *held) add(e event.Event) bool {
-	if e.At-h.turned >= heldSpan {
-		h.turned, h.old, h.now = e.At, h.now, make(map[string][]event.Event)
-	}
 	list, known := h.now[e.Request]
 	if len(list) >= heldLines || (!known && len(h.now) >= heldRequests) {
 		return false
--- a/io/journal/journal.go
+++ b/io/journal/journal.go
@@ -107,6 +107,9 @@
 	if j.next == len(j.ring) {
 		j.next, j.full = 0, true
 	}
+	for _, one := range j.held.turn(e.At) {
+		j.skip(one, e.At)
+	}
 	var lines []line
 	if e.Request != "" && ends(e.Kind) {
 		lines = j.release(e)
@@ -129,7 +132,7 @@
 	for _, one := range j.held.take(e.Request) {
 		r := j.rate(stream{kind: one.Kind, reason: string(one.Reason), held: true}, e.At)
 		if e.Kind == event.Answer || !r.take() {
-			j.rate(stream{kind: one.Kind, reason: string(one.Reason)}, e.At).skipped++
+			j.skip(one, e.At)
 
 			continue
 		}
@@ -139,6 +142,11 @@
 	return lines
 }
 
+// skip counts an event that is not written.
+func (j *Journal) skip(e event.Event, at clock.Milli) {
+	j.rate(stream{kind: e.Kind, reason: string(e.Reason)}, at).skipped++
+}
+
 // rate returns the rate of a stream as of an instant.
 func (j *Journal) rate(s stream, at clock.Milli) *rate {
 	r := j.rates[s]
--- a/io/journal/journal_test.go
+++ b/io/journal/journal_test.go
@@ -87,14 +87,18 @@
 
 	It("forget what was held for requests that never end", func() {
 		play(1, func(int) event.Event { return event.Event{Kind: event.Hedge, Reason: reason.Slow} })
-		now += 20 * clock.Second
-		for range 30 {
-			j.Record(event.Event{Kind: event.Retry, Reason: reason.Failed, Request: "other"})
+		for range 3 {
+			now += 6 * clock.Second
+			j.Record(event.Event{Kind: event.Retry, Reason: reason.Failed})
 		}
-		now += 6 * clock.Second
-		for range 30 {
-			j.Record(event.Event{Kind: event.Retry, Reason: reason.Failed, Request: "another"})
+		// Every retry was written, or counted in skipped once it was forgotten.
+		retries := 0
+		for _, e := range written {
+			if e.Kind == event.Retry {
+				retries++
+			}
 		}
+		Expect(retries + left).To(Equal(requests + 3))
 		written = nil
 		j.Record(event.Event{Kind: event.Refusal, Reason: reason.Failed, Request: "400"})
 		Expect(about("400")).To(Equal([]event.Kind{event.Refusal}))
--- a/io/registry/quarantine.go
+++ b/io/registry/quarantine.go
@@ -45,14 +45,10 @@
 func (r *Registry) Quarantined(p quarantine.Print) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.found = append(r.found, found{p, r.ports.Now() + quarantineSpan})
+	r.found = append(r.found, found{p, r.ports.Now() + quarantine.Span})
 	r.found = r.found[max(0, len(r.found)-quarantineKeep):]
 }
 
-// quarantineSpan is for how long a request that crashes upstreams is told to the other daemons: until those
-// that were cut off from the store for a while have heard of it.
-const quarantineSpan = clock.Minute
-
 // prints returns the requests that are to be told to the other daemons.
 func (r *Registry) prints(now clock.Milli) []quarantine.Print {
 	r.mu.Lock()
