Run a submitted request with its own body

Cause: a page kept the body of the first request under an id, also when that request was refused as not run; another request under the same id later ran the old body and got its outcome. The map of bodies had no bound either. Change: the Run action names the caller whose request is to run, and the body is taken from that caller's request. The map is gone: what is kept is what callers wait for.

--- a/core/ledger/page.go
+++ b/core/ledger/page.go
@@ -17,7 +17,7 @@
 	Load ActionKind = iota
 	// Write writes Entries to the page if the page is still at ExpectedRevision.
 	Write
-	// Run sends the request with the given ID to an upstream.
+	// Run sends the request that the caller with the given WaiterID submitted to an upstream.
 	Run
 	// Reply returns Result to the waiting caller.
 	Reply
@@ -154,7 +154,9 @@
 		return
 	}
 	r.phase = running
-	p.actions = append(p.actions, Action{Kind: Run, ID: r.entry.ID, Deadline: r.latestDeadline()})
+	p.actions = append(p.actions, Action{
+		Kind: Run, ID: r.entry.ID, WaiterID: r.waiting[0].WaiterID, Deadline: r.latestDeadline(),
+	})
 }
 
 // HandleResult handles the result of a request that this page had sent to an upstream.
--- a/io/ledger/ledger.go
+++ b/io/ledger/ledger.go
@@ -11,7 +11,6 @@
 	"jacinthferry/core/event"
 	"jacinthferry/core/ledger"
 	"jacinthferry/core/leg"
-	"jacinthferry/core/reason"
 	"jacinthferry/core/submit"
 	"jacinthferry/io/store"
 )
@@ -48,7 +47,6 @@
 type page struct {
 	key      string
 	state    *ledger.Page
-	requests map[string]submit.Request
 	lease    string
 	lastUsed clock.Milli
 }
@@ -131,9 +129,6 @@
 	p.lastUsed = now
 	l.lastWaiterID++
 	l.waiters[l.lastWaiterID] = waiter(m)
-	if _, known := p.requests[m.request.ID]; !known {
-		p.requests[m.request.ID] = m.request
-	}
 	l.execute(p, p.state.HandleSubmit(now, ledger.Request{
 		WaiterID: l.lastWaiterID, ID: m.request.ID, RequestHash: requestHash(m.request),
 		Deadline: m.request.Deadline, Resend: m.request.Resend,
@@ -146,9 +141,7 @@
 	if p == nil {
 		l.lastPageNumber++
 		owner := l.options.Owner + "/" + strconv.FormatUint(l.lastPageNumber, 10)
-		p = &page{
-			key: key, state: ledger.NewPage(owner, l.options.PageConfig), requests: make(map[string]submit.Request),
-		}
+		p = &page{key: key, state: ledger.NewPage(owner, l.options.PageConfig)}
 		l.pages[key] = p
 	}
 
@@ -186,7 +179,7 @@
 }
 
 func (l *Ledger) runRequest(p *page, a ledger.Action) {
-	r := p.requests[a.ID]
+	r := l.waiters[a.WaiterID].request
 	r.Deadline = a.Deadline
 	go func() { l.enqueue(resultMessage{p, a.ID, l.options.SendRequest(l.ctx, r)}) }()
 }
@@ -222,8 +215,5 @@
 func (m resultMessage) apply(l *Ledger) {
 	now := l.options.Now()
 	m.page.lastUsed = now
-	if m.result.Refusal == nil || m.result.Refusal.Run != reason.NotExecuted {
-		delete(m.page.requests, m.id)
-	}
 	l.execute(m.page, m.page.state.HandleResult(now, m.id, m.result))
 }
--- a/io/ledger/ledger_test.go
+++ b/io/ledger/ledger_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 
@@ -26,6 +27,7 @@
 		now     = timer.NewClock()
 		backend store.Store
 		down    atomic.Bool
+		refuse  atomic.Bool
 		writes  atomic.Int64
 		mu      sync.Mutex
 		runs    map[string]int
@@ -34,6 +36,7 @@
 	BeforeEach(func() {
 		runs = make(map[string]int)
 		down.Store(false)
+		refuse.Store(false)
 		writes.Store(0)
 		backend = platform.New(now).Operations()
 		put, get := backend.Put, backend.Get
@@ -61,6 +64,9 @@
 		l := ledger.New(ctx, ledger.Options{
 			Now: now, Store: backend, Owner: owner, Record: func(event.Event) {},
 			SendRequest: func(_ context.Context, r submit.Request) leg.Result {
+				if refuse.Load() {
+					return leg.Refused(reason.Overload, reason.NotExecuted, "busy")
+				}
 				mu.Lock()
 				defer mu.Unlock()
 				runs[r.ID]++
@@ -123,6 +129,36 @@
 		Expect(runs[r.ID]).To(Equal(1))
 	})
 
+	It("runs a request with its own body after another one with the same id was refused as not run", func() {
+		l := openLedger("one")
+		r := submit.Request{ID: coreledger.NewID(now(), "a"), Service: "s", Body: "old"}
+		down.Store(true)
+		Expect(send(l, r, 50).Refusal).To(HaveField("Run", reason.NotExecuted))
+		down.Store(false)
+		r.Body = "new"
+		Expect(send(l, r, 20*clock.Second).Answer.Body).To(BeEquivalentTo("did new"))
+	})
+
+	It("answers each request with the outcome of its own body, whatever is refused and sent again", func() {
+		for seed := range uint64(20) {
+			random := rand.New(rand.NewPCG(seed, 4))
+			l := openLedger(fmt.Sprint("seed ", seed))
+			ids := []string{coreledger.NewID(now(), "a"), coreledger.NewID(now(), "b")}
+			for range 30 {
+				down.Store(random.IntN(3) == 0)
+				refuse.Store(random.IntN(4) == 0)
+				r := submit.Request{ID: ids[random.IntN(len(ids))], Body: fmt.Sprint(random.IntN(3)), Resend: random.IntN(2) == 0}
+				result := send(l, r, clock.Milli(1+random.IntN(60)))
+				if result.Refusal == nil {
+					Expect(result.Answer.Body).To(BeEquivalentTo("did "+r.Body), "seed %d", seed)
+				}
+			}
+			for _, id := range ids {
+				Expect(runs[id]).To(BeNumerically("<=", 1), "seed %d", seed)
+			}
+		}
+	})
+
 	It("runs no request of an invalid page", func() {
 		r := submit.Request{ID: coreledger.NewID(now(), "a"), Body: "x"}
 		_, err := backend.Put(context.Background(), coreledger.PageKey(r.ID), "not a page", store.Any, "")
