Complete a version move only on evidence, and keep counts over restarts

Cause: the trial of a move ended by time alone. A route found bad was forgotten when the daemon that had counted it went. Change: the analyzer returns a verdict. A daemon that restarts adds to the counts that it stored before. A bad route stays bad. A conditional delete that was not applied keeps the local entry. Shown by: specs of core/rollout and io/registry. The spec of the stages gave no answers and expected completion; it gives good answers now, and checks the number of writes as before.

--- a/core/rollout/rollout.go
+++ b/core/rollout/rollout.go
@@ -29,15 +29,18 @@
 	// the requests, and minPostCanary the least time that is left for the rest of the rollout.
 	canaryFraction = 0.65
 	minPostCanary  = 8 * clock.Second
+	// minPostTrial is the least time that is left for a version that proves itself only after the canary's
+	// time: for shiftDuration and the writes of the last steps.
+	minPostTrial = 5 * clock.Second
 	// shiftDuration is how long all requests go to the new version before the rollout is completed:
 	// meanwhile other daemons learn of the step, and requests at the old version end.
 	shiftDuration = 3 * clock.Second
 )
 
 // Next returns the progress that follows current, or current and false while no step is due. Current is
-// the zero value before the first step, and regressed is set when the new version was found to be worse
-// than the old one.
-func Next(now clock.Milli, order Order, current Progress, regressed bool) (Progress, bool) {
+// the zero value before the first step, and verdict is what the answers of the new version show. A version
+// whose answers are too few to tell stays a canary for longer and is rolled back when the time is up.
+func Next(now clock.Milli, order Order, current Progress, verdict Verdict) (Progress, bool) {
 	enter := func(stage catalog.Stage) (Progress, bool) {
 		rollout := catalog.Rollout{Version: order.Version, Stage: stage, OrderRevision: order.Revision}
 
@@ -54,10 +57,12 @@
 	switch {
 	case stage.Final():
 		return current, false
-	case regressed:
+	case verdict == Regressed:
 		return enter(catalog.RolledBack)
-	case stage == catalog.Canary && now >= order.Seen+order.canaryDuration():
+	case stage == catalog.Canary && verdict == Healthy && now >= order.Seen+order.canaryDuration():
 		return enter(catalog.Shifted)
+	case stage == catalog.Canary && now >= order.Seen+order.MaxDuration-minPostTrial:
+		return enter(catalog.RolledBack)
 	case stage == catalog.Shifted && now >= current.Seen+shiftDuration:
 		return enter(catalog.Completed)
 	default:
--- a/core/rollout/rollout_test.go
+++ b/core/rollout/rollout_test.go
@@ -16,10 +16,10 @@
 var order = rollout.Order{Service: "s", Version: "v2", MaxDuration: 40 * clock.Second, Revision: 7, Seen: start}
 
 // follow carries an order out and returns the stages with the times after the order at which they begin.
-func follow(regressed func(now clock.Milli) bool) (stages []catalog.Stage, at []clock.Milli) {
+func follow(verdict func(now clock.Milli) rollout.Verdict) (stages []catalog.Stage, at []clock.Milli) {
 	var p rollout.Progress
 	for now := start; now < start+order.MaxDuration; now += 100 {
-		next, changed := rollout.Next(now, order, p, regressed(now))
+		next, changed := rollout.Next(now, order, p, verdict(now))
 		if changed {
 			p = next
 			stages, at = append(stages, p.Rollout.Stage), append(at, now-start)
@@ -31,7 +31,7 @@
 
 var _ = Describe("A rollout", func() {
 	It("completes in time when the new version is good", func() {
-		stages, at := follow(func(clock.Milli) bool { return false })
+		stages, at := follow(func(clock.Milli) rollout.Verdict { return rollout.Healthy })
 		Expect(stages).To(Equal([]catalog.Stage{catalog.Canary, catalog.Shifted, catalog.Completed}))
 		Expect(at[1]).To(BeNumerically(">", order.MaxDuration/2))
 		Expect(at[2]).To(BeNumerically("<", order.MaxDuration-2*clock.Second))
@@ -40,31 +40,57 @@
 	for _, when := range []clock.Milli{0, 5 * clock.Second, 27 * clock.Second} {
 		It("rolls back for good when the new version is found bad after "+when.String(), func() {
 			// The rollback is final, also when the version is found good again later.
-			stages, at := follow(func(now clock.Milli) bool { return now >= start+when && now < start+when+1000 })
+			stages, at := follow(func(now clock.Milli) rollout.Verdict {
+				if now >= start+when && now < start+when+1000 {
+					return rollout.Regressed
+				}
+
+				return rollout.Healthy
+			})
 			Expect(stages[len(stages)-1]).To(Equal(catalog.RolledBack))
 			Expect(at[len(at)-1]).To(BeNumerically("<=", when+100))
 		})
 	}
 
+	It("waits for a version that proves itself late, and completes in time", func() {
+		late := 30 * clock.Second
+		stages, at := follow(func(now clock.Milli) rollout.Verdict {
+			if now < start+late {
+				return rollout.Undecided
+			}
+
+			return rollout.Healthy
+		})
+		Expect(stages).To(Equal([]catalog.Stage{catalog.Canary, catalog.Shifted, catalog.Completed}))
+		Expect(at[1]).To(Equal(late))
+		Expect(at[2]).To(BeNumerically("<", order.MaxDuration-clock.Second))
+	})
+
+	It("never sends all requests to a version whose answers are too few to tell, and rolls it back in time", func() {
+		stages, at := follow(func(clock.Milli) rollout.Verdict { return rollout.Undecided })
+		Expect(stages).To(Equal([]catalog.Stage{catalog.Canary, catalog.RolledBack}))
+		Expect(at[1]).To(BeNumerically("<", order.MaxDuration))
+	})
+
 	It("starts again for another order", func() {
 		done := rollout.Progress{Rollout: catalog.Rollout{Version: "v2", Stage: catalog.RolledBack, OrderRevision: order.Revision}}
 		again := order
 		again.Revision++
-		p, changed := rollout.Next(start, again, done, false)
+		p, changed := rollout.Next(start, again, done, rollout.Undecided)
 		Expect(changed).To(BeTrue())
 		Expect(p.Rollout).To(Equal(catalog.Rollout{Version: "v2", Stage: catalog.Canary, OrderRevision: again.Revision}))
 	})
 
 	It("does not change the progress of a newer order", func() {
 		newer := rollout.Progress{Rollout: catalog.Rollout{Version: "v3", Stage: catalog.RolledBack, OrderRevision: order.Revision + 1}}
-		_, changed := rollout.Next(start, order, newer, true)
+		_, changed := rollout.Next(start, order, newer, rollout.Regressed)
 		Expect(changed).To(BeFalse())
 	})
 
 	It("does not continue once it has ended", func() {
 		for _, stage := range []catalog.Stage{catalog.Completed, catalog.RolledBack} {
 			p := rollout.Progress{Rollout: catalog.Rollout{Version: "v2", Stage: stage, OrderRevision: order.Revision}, Seen: start}
-			_, changed := rollout.Next(start+order.MaxDuration, order, p, true)
+			_, changed := rollout.Next(start+order.MaxDuration, order, p, rollout.Regressed)
 			Expect(changed).To(BeFalse(), string(stage))
 		}
 	})
@@ -72,9 +98,9 @@
 
 // monitor counts the answers of one daemon and analyses the counts after each.
 type monitor struct {
-	counter   *rollout.Counter
-	analyzer  *rollout.Analyzer
-	regressed bool
+	counter  *rollout.Counter
+	analyzer *rollout.Analyzer
+	verdict  rollout.Verdict
 }
 
 func newMonitor() *monitor {
@@ -83,11 +109,11 @@
 
 func (m *monitor) add(canary catalog.Rollout, a rollout.Sample) {
 	m.counter.Add(canary, a)
-	m.regressed = m.analyse(a.Service, canary)
+	m.verdict = m.analyse(a.Service, canary)
 }
 
-func (m *monitor) analyse(service string, canary catalog.Rollout) bool {
-	return m.analyzer.Regressed(service, canary, m.counter.Counts(service, canary))
+func (m *monitor) analyse(service string, canary catalog.Rollout) rollout.Verdict {
+	return m.analyzer.Judge(service, canary, m.counter.Counts(service, canary))
 }
 
 // behaviour is how the upstreams of a version answer.
@@ -119,7 +145,7 @@
 			if a.Version == "v2" && (!a.OK || a.Latency > 30) {
 				badAnswers++
 			}
-			if m.regressed {
+			if m.verdict == rollout.Regressed {
 				return badAnswers, true
 			}
 		}
@@ -172,7 +198,7 @@
 			m.add(canary, rollout.Sample{Service: "s", Route: "fine", Version: "v2", OK: true, Latency: 10})
 			m.add(canary, rollout.Sample{Service: "s", Route: "broken", Version: "v2"})
 		}
-		Expect(m.analyse("s", canary)).To(BeTrue())
+		Expect(m.analyse("s", canary)).To(Equal(rollout.Regressed))
 	})
 
 	It("starts from zero for each order", func() {
@@ -182,9 +208,9 @@
 		}
 		next := canary
 		next.OrderRevision++
-		Expect(m.analyse("s", next)).To(BeFalse())
+		Expect(m.analyse("s", next)).To(Equal(rollout.Undecided))
 		m.add(next, rollout.Sample{Service: "s", Route: "r", Version: "v2", OK: true, Latency: 10})
-		Expect(m.analyse("s", next)).To(BeFalse())
+		Expect(m.analyse("s", next)).To(Equal(rollout.Undecided))
 	})
 })
 
@@ -208,7 +234,7 @@
 					sum.NewFailures++
 				}
 			}
-			if analyzer.Regressed("s", canary, map[string]rollout.Counts{"r": sum}) {
+			if analyzer.Judge("s", canary, map[string]rollout.Counts{"r": sum}) == rollout.Regressed {
 				return answers - goodAnswers, true
 			}
 		}
@@ -238,8 +264,73 @@
 		sums := func(answers int, failures float64) map[string]rollout.Counts {
 			return map[string]rollout.Counts{"r": {New: answers, NewFailures: failures}}
 		}
-		Expect(analyzer.Regressed("s", canary, sums(100, 5))).To(BeFalse())
-		Expect(analyzer.Regressed("s", canary, sums(40, 2))).To(BeFalse())
-		Expect(analyzer.Regressed("s", canary, sums(44, 6))).To(BeTrue())
+		Expect(analyzer.Judge("s", canary, sums(100, 5))).NotTo(Equal(rollout.Regressed))
+		Expect(analyzer.Judge("s", canary, sums(40, 2))).NotTo(Equal(rollout.Regressed))
+		Expect(analyzer.Judge("s", canary, sums(44, 6))).To(Equal(rollout.Regressed))
+	})
+
+	It("keep a version bad when the daemon that counted its failures is gone", func() {
+		analyzer := rollout.NewAnalyzer()
+		Expect(analyzer.Judge("s", canary, map[string]rollout.Counts{"r": {New: 5, NewFailures: 5}})).To(Equal(rollout.Regressed))
+		Expect(analyzer.Judge("s", canary, map[string]rollout.Counts{"other": {New: 50}})).To(Equal(rollout.Regressed))
+		Expect(analyzer.Judge("s", canary, nil)).To(Equal(rollout.Regressed))
+	})
+
+	// decide simulates a canary of 14 s, which may go on for 3 s while the answers are too few to tell, and
+	// returns the verdict at its end. The new version gives some answers a second.
+	decide := func(seed uint64, answers int, failureRate float64) rollout.Verdict {
+		random := rand.New(rand.NewPCG(seed, 5))
+		analyzer := rollout.NewAnalyzer()
+		var sum rollout.Counts
+		verdict := rollout.Undecided
+		for second := 1; second <= 17; second++ {
+			sum.Old += 10 * answers
+			sum.OldFailures += 0.3 * float64(answers)
+			for range answers {
+				sum.New++
+				if random.Float64() < failureRate {
+					sum.NewFailures++
+				}
+			}
+			verdict = analyzer.Judge("s", canary, map[string]rollout.Counts{"r": sum})
+			if verdict == rollout.Regressed || second >= 14 && verdict == rollout.Healthy {
+				return verdict
+			}
+		}
+
+		return verdict
+	}
+
+	It("do not call a version healthy from few answers", func() {
+		analyzer := rollout.NewAnalyzer()
+		Expect(analyzer.Judge("s", canary, nil)).To(Equal(rollout.Undecided))
+		Expect(analyzer.Judge("s", canary, map[string]rollout.Counts{"r": {New: 8, Old: 80}})).To(Equal(rollout.Undecided))
+		Expect(decide(1, 0, 0)).To(Equal(rollout.Undecided))
+	})
+
+	It("call a version healthy after some twenty good answers", func() {
+		Expect(decide(1, 2, 0)).To(Equal(rollout.Healthy))
+	})
+
+	It("seldom call a version healthy that fails a quarter of its requests, however few there are", func() {
+		for _, answers := range []int{1, 2, 3, 5} {
+			wrong := 0
+			for seed := range uint64(1000) {
+				if decide(seed, answers, 0.25) == rollout.Healthy {
+					wrong++
+				}
+			}
+			Expect(wrong).To(BeNumerically("<=", 50), "%d answers a second", answers)
+		}
+	})
+
+	It("call most versions healthy that fail one request in 30 like the old one", func() {
+		healthy := 0
+		for seed := range uint64(1000) {
+			if decide(seed, 3, 0.03) == rollout.Healthy {
+				healthy++
+			}
+		}
+		Expect(healthy).To(BeNumerically(">=", 800))
 	})
 })
--- a/io/registry/moves.go
+++ b/io/registry/moves.go
@@ -88,8 +88,8 @@
 	now := r.options.Now()
 	stored := r.entries[moveKey(o.Service)]
 	move := r.currentMove(o)
-	bad := r.regressed(o.Service, move)
-	next, changed := rollout.Next(now, o, stored.record.Progress, bad)
+	verdict := r.judge(o.Service, move)
+	next, changed := rollout.Next(now, o, stored.record.Progress, verdict)
 	if !changed {
 		if err := r.shareResults(ctx, now, o.Service, move); err != nil {
 			return err
@@ -105,16 +105,24 @@
 	if err != nil || !done {
 		return err
 	}
-	kind := event.Move
-	if bad {
+	r.recordStep(o, next.Rollout.Stage, verdict)
+	r.publish(now)
+
+	return r.writeReport(ctx, now, o.Service, next.Rollout)
+}
+
+// recordStep records an event for a step of a version move, and why the move is rolled back if it is.
+func (r *Registry) recordStep(o rollout.Order, stage catalog.Stage, verdict rollout.Verdict) {
+	kind, detail := event.Move, string(stage)
+	switch {
+	case verdict == rollout.Regressed:
 		kind = event.Trip
+	case stage == catalog.RolledBack:
+		detail += ", too few answers to tell whether the version is healthy"
 	}
 	r.recordEvent(event.Event{
-		Kind: kind, Service: o.Service, Version: o.Version, Revision: uint64(o.Revision), Detail: string(next.Rollout.Stage),
+		Kind: kind, Service: o.Service, Version: o.Version, Revision: uint64(o.Revision), Detail: detail,
 	})
-	r.publish(now)
-
-	return r.writeReport(ctx, now, o.Service, next.Rollout)
 }
 
 // writeReport writes the operators' report of a move, unless the store already holds the same text.
--- a/io/registry/moves_test.go
+++ b/io/registry/moves_test.go
@@ -14,6 +14,9 @@
 // badCounts are the counts of a daemon for which every request to the new version failed.
 var badCounts = map[string]rollout.Counts{"r": {New: 10, NewFailures: 10}}
 
+// goodCounts are the counts of a daemon for which every request to both versions was answered.
+var goodCounts = map[string]rollout.Counts{"r": {New: 40, Old: 400}}
+
 var _ = Describe("A version move", func() {
 	report := func(r *harness) string { return r.entries["report/s"].Value }
 	stage := func(r *harness) catalog.Stage {
@@ -37,8 +40,11 @@
 		Expect(stage(r)).To(Equal(catalog.Canary))
 		Expect(report(r)).To(Equal("report trial"))
 		Expect(r.writes).To(Equal(2))
-		r.advance(10_000)
+		r.advance(9000)
 		Expect(r.writes).To(Equal(2), "nothing is written while nothing changes")
+		r.results = goodCounts
+		r.advance(1000)
+		Expect(r.writes).To(Equal(3), "the counts are written")
 		r.advance(20_000)
 		Expect(stage(r)).To(Equal(catalog.Shifted))
 		r.advance(4000)
@@ -60,6 +66,32 @@
 		Expect(stage(r)).To(Equal(catalog.RolledBack))
 	})
 
+	It("is rolled back, never completed, when the new version got too few requests to tell", func() {
+		r := begin()
+		r.results = map[string]rollout.Counts{"r": {New: 2, Old: 20}}
+		r.advance(30_000)
+		Expect(stage(r)).To(Equal(catalog.Canary))
+		r.advance(6000)
+		Expect(stage(r)).To(Equal(catalog.RolledBack))
+		Expect(report(r)).To(Equal("report back"))
+	})
+
+	It("counts the requests from before a restart of the daemon that counted them", func() {
+		r := begin()
+		r.results = map[string]rollout.Counts{"r": {New: 5, NewFailures: 2, Old: 50}}
+		r.advance(1000)
+		Expect(r.entries).To(HaveKey("jacinthferry/results/s/self"))
+		r.restart()
+		r.results = map[string]rollout.Counts{"r": {New: 3, NewFailures: 1, Old: 10}}
+		r.advance(1000)
+		Expect(stage(r)).To(Equal(catalog.Canary))
+		Expect(r.entries["jacinthferry/results/s/self"].Value).To(ContainSubstring(`"new":8,"bad":3,"old":60`))
+		r.advance(1000)
+		r.results = map[string]rollout.Counts{"r": {New: 5, NewFailures: 3, Old: 20}}
+		r.advance(1000)
+		Expect(stage(r)).To(Equal(catalog.RolledBack), "the second run alone counted 3 failures of 5")
+	})
+
 	It("is in the trial stage as soon as its order is known, even if its progress cannot be written", func() {
 		r := newHarness(self)
 		r.put("c", "config")
--- a/io/registry/registry.go
+++ b/io/registry/registry.go
@@ -101,6 +101,8 @@
 	analyzer *rollout.Analyzer
 	// resultsSent is when this daemon last published its counts for a move, by service.
 	resultsSent map[string]clock.Milli
+	// inherited holds the counts of this daemon's previous run, by service.
+	inherited map[string]results
 	// mu guards crashPrints, the requests that this daemon found to crash upstreams, oldest first.
 	mu          sync.Mutex
 	crashPrints []crashPrint
@@ -118,7 +120,7 @@
 func New(options Options) *Registry {
 	return &Registry{
 		options: options, entries: make(map[string]storedRecord), analyzer: rollout.NewAnalyzer(),
-		resultsSent: make(map[string]clock.Milli), started: options.Now(),
+		resultsSent: make(map[string]clock.Milli), inherited: make(map[string]results), started: options.Now(),
 	}
 }
 
@@ -256,6 +258,7 @@
 			r.handleDeletion(now, key)
 		}
 	}
+	r.inheritResults()
 	r.watchRevision, r.loaded = revision, true
 	r.lastContact.Store(int64(now))
 	r.publish(now)
--- a/io/registry/registry_test.go
+++ b/io/registry/registry_test.go
@@ -23,6 +23,7 @@
 // harness is a registry with a scripted store and a virtual clock.
 type harness struct {
 	*registry.Registry
+	options      registry.Options
 	now          clock.Milli
 	revision     int64
 	entries      map[string]store.Entry
@@ -118,7 +119,7 @@
 
 		return store.WriteResult{Applied: true}, nil
 	}
-	r.Registry = registry.New(registry.Options{
+	r.options = registry.Options{
 		Counts: func(string, catalog.Rollout) map[string]rollout.Counts { return r.results },
 		EncodeReport: func(service string, m catalog.Rollout) (string, string, error) {
 			return "report/" + service, "report " + string(m.Stage), nil
@@ -126,11 +127,15 @@
 		Now: func() clock.Milli { return r.now }, Store: port, Decode: decode,
 		Record: func(event.Event) {}, Self: self,
 		OnQuarantine: func(p quarantine.Fingerprint) { r.learned = append(r.learned, p) },
-	})
+	}
+	r.restart()
 
 	return r
 }
 
+// restart replaces the registry by one that knows nothing, as when its daemon restarts under the same name.
+func (r *harness) restart() { r.Registry = registry.New(r.options) }
+
 // put writes an entry, and remove deletes one. Both queue the change for the next watch.
 func (r *harness) put(key, value string) {
 	r.revision++
--- a/io/registry/results.go
+++ b/io/registry/results.go
@@ -64,9 +64,9 @@
 	return Record{Kind: Results, Results: decoded}, nil
 }
 
-// regressed reports whether the sum of all daemons' counts shows that the new version is bad. One
-// daemon alone may see too few requests to tell.
-func (r *Registry) regressed(service string, m catalog.Rollout) bool {
+// judge returns what the sum of all daemons' counts shows of the new version. One daemon alone may see too few
+// requests to tell.
+func (r *Registry) judge(service string, m catalog.Rollout) rollout.Verdict {
 	sums := make(map[string]rollout.Counts)
 	own := resultsKey(service, r.options.Self.Name)
 	for key, s := range r.entries {
@@ -74,15 +74,40 @@
 		if s.record.Kind != Results || key == own || res.Service != service || res.Order != m.OrderRevision {
 			continue
 		}
-		for name, c := range res.Routes {
-			sums[name] = sums[name].Add(c)
+		addCounts(sums, res.Routes)
+	}
+	addCounts(sums, r.ownCounts(service, m))
+
+	return r.analyzer.Judge(service, m, sums)
+}
+
+// ownCounts returns this daemon's counts for a move, with those of its previous run, by route.
+func (r *Registry) ownCounts(service string, m catalog.Rollout) map[string]rollout.Counts {
+	sums := make(map[string]rollout.Counts)
+	if before := r.inherited[service]; before.Order == m.OrderRevision {
+		addCounts(sums, before.Routes)
+	}
+	addCounts(sums, r.options.Counts(service, m))
+
+	return sums
+}
+
+// inheritResults keeps the counts that the previous run of this daemon stored under its name, so that this run
+// adds to them in place of overwriting them.
+func (r *Registry) inheritResults() {
+	for key, s := range r.entries {
+		service := s.record.Results.Service
+		if s.record.Kind == Results && key == resultsKey(service, r.options.Self.Name) && r.resultsSent[service] == 0 {
+			r.inherited[service] = s.record.Results
 		}
 	}
-	for name, c := range r.options.Counts(service, m) {
+}
+
+// addCounts adds counts by route to sums.
+func addCounts(sums, counts map[string]rollout.Counts) {
+	for name, c := range counts {
 		sums[name] = sums[name].Add(c)
 	}
-
-	return r.analyzer.Regressed(service, m, sums)
 }
 
 // shareResults publishes this daemon's counts if they changed and the last write was at least one interval ago.
@@ -91,7 +116,7 @@
 	if m.Stage.Final() {
 		return r.deleteResults(ctx, service)
 	}
-	mine := results{Service: service, Order: m.OrderRevision, Routes: r.options.Counts(service, m)}
+	mine := results{Service: service, Order: m.OrderRevision, Routes: r.ownCounts(service, m)}
 	key := resultsKey(service, r.options.Self.Name)
 	stored := r.entries[key]
 	if len(mine.Routes) == 0 || now < r.resultsSent[service]+resultsInterval ||
@@ -114,10 +139,13 @@
 		if s.record.Kind != Results || s.record.Results.Service != service {
 			continue
 		}
-		if _, err := r.options.Store.Delete(ctx, key, s.revision); err != nil {
+		deleted, err := r.options.Store.Delete(ctx, key, s.revision)
+		if err != nil {
 			return err //nolint:wrapcheck // It is a refusal of the store.
 		}
-		delete(r.entries, key)
+		if deleted.Applied {
+			delete(r.entries, key)
+		}
 	}
 
 	return nil
