Let bad versions and removed zones of the soak stay so

Change: failures belong to the version; a zone returns with the end of the last step that took it out. The checks and their bounds are unchanged.

--- a/soak/testbed/service.go
+++ b/soak/testbed/service.go
@@ -32,6 +32,8 @@
 	mu         sync.Mutex
 	lastNumber int
 	endpoints  []*endpoint
+	// errorRates holds the shares of requests that the upstreams of bad versions fail, by version.
+	errorRates map[string]float64
 }
 
 // endpoint is a proxy with an upstream behind it. The upstream may be replaced.
@@ -65,7 +67,7 @@
 }
 
 func (tb *Testbed) startService(ctx context.Context, name string, count int) error {
-	s := &service{testbed: tb, name: name}
+	s := &service{testbed: tb, name: name, errorRates: make(map[string]float64)}
 	tb.mu.Lock()
 	tb.services[name] = s
 	tb.mu.Unlock()
@@ -107,6 +109,7 @@
 	if err != nil {
 		return err //nolint:wrapcheck // The stand-in says what is wrong.
 	}
+	u.SetFaults(s.versionFaults(version))
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.upstream = u
@@ -115,6 +118,21 @@
 	return nil
 }
 
+// setErrorRate sets the share of requests that upstreams of a version fail which start from now on.
+func (s *service) setErrorRate(version string, rate float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.errorRates[version] = rate
+}
+
+// versionFaults returns the faults that every upstream of a version has.
+func (s *service) versionFaults(version string) registered.Faults {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	return registered.Faults{ErrorShare: s.errorRates[version]}
+}
+
 // currentUpstream returns the upstream of an endpoint, or nil.
 func (p *endpoint) currentUpstream() *registered.Upstream {
 	p.mu.Lock()
--- a/soak/testbed/testbed.go
+++ b/soak/testbed/testbed.go
@@ -60,13 +60,17 @@
 
 	mu      sync.Mutex
 	history check.History
+
+	// zonesMu guards removedZones, the zones out of service by name.
+	zonesMu      sync.Mutex
+	removedZones map[string]*zoneRemoval
 }
 
 func zoneName(n int) string { return fmt.Sprintf("zone-%d", n%zoneCount) }
 
 // Run carries out a plan and returns what callers and upstreams recorded.
 func Run(ctx context.Context, o Options, plan []Step) (*check.History, error) {
-	tb := &Testbed{options: o, services: make(map[string]*service)}
+	tb := &Testbed{options: o, services: make(map[string]*service), removedZones: make(map[string]*zoneRemoval)}
 	absolute := timer.NewClock()
 	tb.startedAt = absolute()
 	tb.now = func() clock.Milli { return absolute() - tb.startedAt }
--- a/soak/testbed/upstreams.go
+++ b/soak/testbed/upstreams.go
@@ -62,9 +62,12 @@
 		tb.sleep(ctx, s.Duration)
 		p.proxy.SetMode(proxy.Mode{})
 	default:
-		u.SetFaults(upstreamFaults(s.Kind))
+		permanent := srv.versionFaults(u.Options().Version)
+		faults := upstreamFaults(s.Kind)
+		faults.ErrorShare = max(faults.ErrorShare, permanent.ErrorShare)
+		u.SetFaults(faults)
 		tb.sleep(ctx, s.Duration)
-		u.SetFaults(registered.Faults{})
+		u.SetFaults(permanent)
 	}
 
 	return nil
@@ -184,19 +187,56 @@
 	return nil
 }
 
-// evacuateZone takes an availability zone out of service and returns it to service later.
+// evacuateZone takes an availability zone out of service and returns it to service later. While several steps
+// take out the same zone, only the end of the last one returns it.
 func (tb *Testbed) evacuateZone(ctx context.Context, s Step) error {
 	name := zoneName(s.Target)
-	done, err := tb.store.Put(ctx, platform.EvacuationKey(name), "{}", store.Any, "")
-	if err != nil {
-		return err //nolint:wrapcheck // It is a refusal of the store.
+	if err := tb.removeZone(ctx, name); err != nil {
+		return err
 	}
-	removal := check.Removal{Zone: name, At: tb.now()}
-	defer tb.recordUpstreamDisturbance(s.Kind, removal.At)
+	defer tb.recordUpstreamDisturbance(s.Kind, tb.now())
 	tb.sleep(ctx, tb.history.Bounds.Evacuate+s.Duration)
-	removal.Until = tb.now()
-	tb.record(func(h *check.History) { h.Removals = append(h.Removals, removal) })
-	_, err = tb.store.Delete(ctx, platform.EvacuationKey(name), done.Revision)
+
+	return tb.returnZone(ctx, name)
+}
+
+// zoneRemoval is an availability zone out of service.
+type zoneRemoval struct {
+	at clock.Milli
+	// steps is the number of steps that have taken the zone out and not ended yet.
+	steps int
+}
+
+// removeZone takes a zone out of service unless it already is.
+func (tb *Testbed) removeZone(ctx context.Context, name string) error {
+	tb.zonesMu.Lock()
+	defer tb.zonesMu.Unlock()
+	removal := tb.removedZones[name]
+	if removal == nil {
+		if _, err := tb.store.Put(ctx, platform.EvacuationKey(name), "{}", store.Any, ""); err != nil {
+			return err //nolint:wrapcheck // It is a refusal of the store.
+		}
+		removal = &zoneRemoval{at: tb.now()}
+		tb.removedZones[name] = removal
+	}
+	removal.steps++
+
+	return nil
+}
+
+// returnZone returns a zone to service unless another step still takes it out.
+func (tb *Testbed) returnZone(ctx context.Context, name string) error {
+	tb.zonesMu.Lock()
+	defer tb.zonesMu.Unlock()
+	removal := tb.removedZones[name]
+	if removal.steps--; removal.steps > 0 {
+		return nil
+	}
+	delete(tb.removedZones, name)
+	tb.record(func(h *check.History) {
+		h.Removals = append(h.Removals, check.Removal{Zone: name, At: removal.at, Until: tb.now()})
+	})
+	_, err := tb.store.Delete(ctx, platform.EvacuationKey(name), store.Any)
 
 	return err //nolint:wrapcheck // It is a refusal of the store.
 }
@@ -212,17 +252,17 @@
 func (tb *Testbed) runRollout(ctx context.Context, s Step) error {
 	srv, _ := tb.pickEndpoint(s.Target)
 	old := srv.activeEndpoints()
+	errorRate := 0.0
+	if s.Kind == MoveBad {
+		errorRate = badVersionErrorRates[s.Target%len(badVersionErrorRates)]
+	}
+	srv.setErrorRate(nextVersion, errorRate)
 	var canaries []*endpoint
 	for range old {
 		p, err := srv.addEndpoint(ctx, nextVersion)
 		if err != nil {
 			return err
 		}
-		if s.Kind == MoveBad {
-			p.currentUpstream().SetFaults(
-				registered.Faults{ErrorShare: badVersionErrorRates[s.Target%len(badVersionErrorRates)]},
-			)
-		}
 		canaries = append(canaries, p)
 	}
 	order := rollout.Order{Service: srv.name, Version: nextVersion, MaxDuration: maxRolloutDuration}
