Bound what a daemon reads of others

Cause: the gateway read a response's header without a bound (256 MB of bytes without a line end were read in whole), 1xx responses without end looped for ever, and a body could take 16 MB a leg, times hundreds of legs. Change: a header may have 64 KiB with at most 8 interim responses, a shard's body 1 MiB, a forwarded one 16 MiB. What goes beyond 4 KiB of a header or body takes from a memory that all legs share, a quarter of the daemon's; a large body of a shard is reduced to the records that can be in the answer. Such a response ends the connection, is counted and logged under the reason size, and the leg is retried elsewhere. Headers of the store and of other daemons are bounded; what is too long is said so. Shown by: specs that play 11 kinds of endless bytes from all upstreams and from half of them.

--- a/core/gather/query_test.go
+++ b/core/gather/query_test.go
@@ -381,7 +381,7 @@
 		d := moving(catalog.Canary)
 		move, _ := d.view.Rollout("shard0")
 		analyzer := rollout.NewAnalyzer()
-		for now := start; !analyzer.Regressed("shard0", move, d.RolloutCounts("shard0", move)); now += 100 {
+		for now := start; analyzer.Judge("shard0", move, d.RolloutCounts("shard0", move)) != rollout.Regressed; now += 100 {
 			Expect(now).To(BeNumerically("<", start+100*clock.Second))
 			q, actions := d.begin(now)
 			result := success
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -36,6 +36,11 @@
 	// relayDialTimeout and relayAckTimeout are the same limits for links to other daemons.
 	relayDialTimeout = 500 * clock.Millisecond
 	relayAckTimeout  = clock.Second
+	// bodyMemoryPerMB is how many bytes of each megabyte of memory the large bodies of responses may take.
+	bodyMemoryPerMB = 256 << 10
+	// maxStoreHeaderBytes and maxRelayHeaderBytes limit the size of a response's header.
+	maxStoreHeaderBytes = 64 << 10
+	maxRelayHeaderBytes = 16 << 10
 	// replyReserve is the part of a caller's deadline reserved for sending the answer.
 	replyReserve = 5 * clock.Millisecond
 	// Times before the end of the shutdown grace period: at drainMargin the daemon stops accepting
@@ -70,7 +75,8 @@
 	e := &Entry{cancel: cancel, now: now, journal: journal.New(s.Name, journalSize, now)}
 	e.settings.Store(&s)
 	store := &http.Client{Transport: &http.Transport{
-		DialContext: socket.NewDialer(storeDialTimeout, storeAckTimeout).DialContext,
+		DialContext:            socket.NewDialer(storeDialTimeout, storeAckTimeout).DialContext,
+		MaxResponseHeaderBytes: maxStoreHeaderBytes,
 	}}
 	options := registry.Options{
 		Now: now, Store: platform.NewStore(s.StoreAddress, store), Decode: platform.DecodeEntry, Record: e.journal.Record,
@@ -83,14 +89,15 @@
 	e.registry = registry.New(options)
 	e.lease = registry.NewLease(options, e.registry.StablyActive)
 	links := relay.NewClient(ctx, now, &http.Client{Transport: &http.Transport{
-		DialContext: socket.NewDialer(relayDialTimeout, relayAckTimeout).DialContext,
+		DialContext:            socket.NewDialer(relayDialTimeout, relayAckTimeout).DialContext,
+		MaxResponseHeaderBytes: maxRelayHeaderBytes,
 	}}, s.Name, e.relayAddresses)
 	e.gateway = gateway.New(gateway.Options{
 		Relay: links.Send,
 		Now:   now, View: e.registry.View, DaemonCount: e.registry.DaemonCount, StoreContact: e.registry.StoreContact,
 		Codec:  platform.NewCodec(),
 		Record: e.journal.Record, Observe: e.observe, OnQuarantine: e.registry.PublishQuarantined, Zone: s.Zone,
-		Policy: policy(s),
+		Policy: policy(s), BodyMemory: s.MemoryMB * bodyMemoryPerMB,
 	})
 	e.idle = socket.NewIdleCloser(now, func() clock.Milli { return e.gateway.Limits().IdleTimeout })
 	front := &platform.CallerHandler{
--- /dev/null
+++ b/io/gateway/body.go
@@ -0,0 +1,159 @@
+package gateway
+
+import (
+	"io"
+	"net"
+	"sync"
+
+	"github.com/pkg/errors"
+
+	"jacinthferry/core/budget"
+	"jacinthferry/core/gather"
+)
+
+const (
+	// responseLimit is the maximum size in bytes of a body that is forwarded, and partLimit that of a shard's
+	// response, which holds records.
+	responseLimit = 16 << 20
+	partLimit     = 1 << 20
+	// headLimit is the maximum size in bytes of a response's status line and header, with those of the 1xx
+	// responses before it, of which there may be interimLimit.
+	headLimit    = 64 << 10
+	interimLimit = 8
+	// freeSize is how many bytes of each header and of each body do not count towards the shared memory. Ordinary
+	// responses are read even while other upstreams send as much as they can.
+	freeSize = 4 << 10
+	// minBodyBuffer is the smallest buffer in bytes for a body.
+	minBodyBuffer = 512
+)
+
+// Errors for responses that are larger than allowed.
+var (
+	errTooLarge = errors.New("gateway: response is over the limit")
+	errNoMemory = errors.New("gateway: no memory is left for the response")
+)
+
+// isTooLarge reports whether a response was given up because of its size.
+func isTooLarge(err error) bool { return errors.Is(err, errTooLarge) || errors.Is(err, errNoMemory) }
+
+// meteredConn limits how many bytes of a response are read, so that what parses them need not. It is for one
+// reader at a time.
+type meteredConn struct {
+	net.Conn
+	memory *bodyMemory
+	// allowance is how many bytes may be read. It can grow by up to extra bytes, which take memory. Held is how
+	// much they took.
+	allowance, extra, held int
+	// err is why no more bytes of the response may be read, or nil.
+	err error
+}
+
+// beginHead starts the limit of a response's status line and header.
+func (m *meteredConn) beginHead() { m.allowance, m.extra = freeSize, headLimit-freeSize }
+
+// beginBody starts the limit of a body of at most limit bytes. Chunks may take as many bytes as what is in them.
+func (m *meteredConn) beginBody(limit int) { m.allowance, m.extra = 2*limit+headLimit, 0 }
+
+// release returns the memory that was taken for a header.
+func (m *meteredConn) release() {
+	m.memory.release(m.held)
+	m.held = 0
+}
+
+// Read reads from the connection within the allowance.
+func (m *meteredConn) Read(p []byte) (int, error) {
+	if m.allowance == 0 {
+		if m.err = m.extend(); m.err != nil {
+			return 0, m.err
+		}
+	}
+	n, err := m.Conn.Read(p[:min(len(p), m.allowance)])
+	m.allowance -= n
+
+	return n, err //nolint:wrapcheck // A reader returns io.EOF as it is.
+}
+
+func (m *meteredConn) extend() error {
+	more := min(freeSize, m.extra)
+	if more == 0 {
+		return errTooLarge
+	}
+	if !m.memory.take(more) {
+		return errNoMemory
+	}
+	m.extra -= more
+	m.held += more
+	m.allowance = more
+
+	return nil
+}
+
+// bodyMemory limits the memory that the large responses of all legs hold together. It is safe for concurrent use.
+type bodyMemory struct {
+	mu     sync.Mutex
+	budget *budget.Bytes
+}
+
+func newBodyMemory(limit int) *bodyMemory { return &bodyMemory{budget: budget.NewBytes(limit)} }
+
+func (m *bodyMemory) take(n int) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+
+	return m.budget.Take(n)
+}
+
+func (m *bodyMemory) release(n int) {
+	if n == 0 {
+		return
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.budget.Release(n)
+}
+
+// read reads a body of at most limit bytes, of which length are announced, or -1 if none. It returns the body and
+// how many bytes it holds of the memory, which the caller must release.
+func (m *bodyMemory) read(r io.Reader, length int64, limit int) (body []byte, held int, err error) {
+	// One more byte than announced lets the end be seen without a larger buffer.
+	body = make([]byte, 0, min(freeSize, max(minBodyBuffer, length+1)))
+	for {
+		if len(body) == cap(body) {
+			size := min(2*cap(body), limit+1)
+			if more := size - freeSize - held; more > 0 {
+				if !m.take(more) {
+					m.release(held)
+
+					return nil, 0, errNoMemory
+				}
+				held += more
+			}
+			body = append(make([]byte, 0, size), body...)
+		}
+		n, err := r.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		if len(body) > limit {
+			err = errTooLarge
+		}
+		if err == io.EOF { //nolint:errorlint // A reader returns io.EOF as it is.
+			return body, held, nil
+		}
+		if err != nil {
+			m.release(held)
+
+			return nil, 0, errors.Wrap(err, "gateway: cannot read response body")
+		}
+	}
+}
+
+// reduce replaces a large body of a shard by its top greatest records, which is all that an answer takes of it, and
+// releases the memory of the rest.
+func (m *bodyMemory) reduce(reply *UpstreamResponse, top int) {
+	if reply.held == 0 {
+		return
+	}
+	reply.Body = gather.TopRecords([][]byte{reply.Body}, top)
+	held := min(reply.held, max(0, len(reply.Body)-freeSize))
+	m.release(reply.held - held)
+	reply.held = held
+}
--- a/io/gateway/call.go
+++ b/io/gateway/call.go
@@ -41,6 +41,15 @@
 	// before a retry, if it may retry.
 	Refusal    *reason.Refusal
 	RetryAfter clock.Milli
+	// release returns the memory of the bodies, or is nil.
+	release func()
+}
+
+// Release returns the memory that a large response holds. The response must not be used afterwards.
+func (r *Response) Release() {
+	if r.release != nil {
+		r.release()
+	}
 }
 
 // UpstreamResponse is an upstream's response to one leg.
@@ -62,6 +71,8 @@
 	Load *balance.Load
 	// Warmup is how much longer the upstream needs to warm up.
 	Warmup clock.Milli
+	// held is how many bytes of the memory for bodies the body holds.
+	held int
 }
 
 // Codec converts between calls and the headers of the upstream protocol.
--- a/io/gateway/conn.go
+++ b/io/gateway/conn.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"context"
-	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -27,8 +26,6 @@
 	// the connection.
 	idleTimeout = 10 * clock.Second
 	idleMargin  = 500 * clock.Millisecond
-	// responseLimit is the maximum size of a response body in bytes.
-	responseLimit = 16 << 20
 	// readBufferSize is the size of a connection's read buffer in bytes.
 	readBufferSize = 2 << 10
 	// readAttempts is how many responses are read in search of the one to the current request. Responses
@@ -40,20 +37,21 @@
 var (
 	errMismatch = errors.New("gateway: response is for another request")
 	errEncoded  = errors.New("gateway: response body has a Content-Encoding, want none")
-	errTooLarge = errors.New("gateway: response body is over the limit of 16 MiB")
 )
 
 // conn is a connection to an upstream. It carries one request at a time.
 type conn struct {
-	net.Conn
+	*meteredConn
 	reader *bufio.Reader
 	// expires is when an idle connection may no longer be reused.
 	expires clock.Milli
 }
 
-// exchange sends a request and reads the response. Keep reports whether the connection can be
-// reused, and sent whether any bytes of the request may have been sent.
-func (c *conn) exchange(now func() clock.Milli, codec *Codec, call *Call, u *catalog.Upstream, deadline clock.Milli) (
+// exchange sends a request and reads the response, whose body may have limit bytes. Keep reports whether the
+// connection can be reused, and sent whether any bytes of the request may have been sent.
+func (c *conn) exchange(
+	now func() clock.Milli, codec *Codec, call *Call, u *catalog.Upstream, deadline clock.Milli, limit int,
+) (
 	reply *UpstreamResponse, keep, sent bool, err error,
 ) {
 	start := now()
@@ -66,7 +64,7 @@
 		return nil, false, n > 0, errors.Wrap(err, "gateway: cannot send request")
 	}
 	for range readAttempts {
-		reply, keep, err = c.readResponse(codec, call.Method)
+		reply, keep, err = c.readResponse(codec, call.Method, limit)
 		if err != nil {
 			return nil, false, true, err
 		}
@@ -75,6 +73,7 @@
 
 			return reply, keep && c.reader.Buffered() == 0, true, nil
 		}
+		c.memory.release(reply.held)
 	}
 
 	return nil, false, true, errMismatch
@@ -113,34 +112,46 @@
 	return append(b, call.Body...)
 }
 
-// readResponse reads one final response with its body, skipping 1xx responses, and reports whether the
-// connection stays open.
-func (c *conn) readResponse(codec *Codec, method string) (*UpstreamResponse, bool, error) {
-	request := &http.Request{Method: method}
-	response, err := http.ReadResponse(c.reader, request)
-	for err == nil && response.StatusCode < http.StatusOK {
-		response, err = http.ReadResponse(c.reader, request)
-	}
+// readResponse reads one final response with its body and reports whether the connection stays open.
+func (c *conn) readResponse(codec *Codec, method string, limit int) (*UpstreamResponse, bool, error) {
+	response, err := c.readHead(method)
 	if err != nil {
 		return nil, false, errors.Wrap(err, "gateway: no answer")
 	}
 	defer func() { _ = response.Body.Close() }()
-	body, err := io.ReadAll(io.LimitReader(response.Body, responseLimit+1))
-	if err != nil {
-		return nil, false, errors.Wrap(err, "gateway: cannot read response body")
-	}
-	if len(body) > responseLimit {
-		return nil, false, errTooLarge
-	}
 	if response.Header.Get("Content-Encoding") != "" {
 		return nil, false, errEncoded
 	}
+	c.beginBody(limit)
+	body, held, err := c.memory.read(response.Body, response.ContentLength, limit)
+	if err != nil {
+		return nil, false, err
+	}
 	reply := codec.Decode(response.StatusCode, response.Header)
-	reply.Status, reply.Header, reply.Body = response.StatusCode, response.Header, body
+	reply.Status, reply.Header, reply.Body, reply.held = response.StatusCode, response.Header, body, held
 
 	return &reply, !response.Close, nil
 }
 
+// readHead reads the status and header of one final response, skipping 1xx responses.
+func (c *conn) readHead(method string) (*http.Response, error) {
+	c.beginHead()
+	defer c.release()
+	request := &http.Request{Method: method}
+	for range interimLimit + 1 {
+		response, err := http.ReadResponse(c.reader, request)
+		if err != nil && c.err != nil {
+			// The parser may have taken the cut for a malformed line.
+			return nil, c.err
+		}
+		if err != nil || response.StatusCode >= http.StatusOK {
+			return response, err //nolint:wrapcheck // The caller wraps it.
+		}
+	}
+
+	return nil, errTooLarge
+}
+
 // extendIdle sets when the connection expires, which depends on the Keep-Alive header of the response.
 func (c *conn) extendIdle(now clock.Milli, header http.Header) {
 	span := idleTimeout
@@ -158,12 +169,15 @@
 // pool holds idle connections to upstreams. It is safe for concurrent use.
 type pool struct {
 	dialer *net.Dialer
+	memory *bodyMemory
 	mu     sync.Mutex
 	idle   map[catalog.Key][]*conn
 }
 
-func newPool() *pool {
-	return &pool{dialer: socket.NewDialer(dialTimeout, ackTimeout), idle: make(map[catalog.Key][]*conn)}
+func newPool(memory *bodyMemory) *pool {
+	return &pool{
+		dialer: socket.NewDialer(dialTimeout, ackTimeout), memory: memory, idle: make(map[catalog.Key][]*conn),
+	}
 }
 
 // take removes and returns a usable idle connection to the upstream, or returns nil. It closes unusable
@@ -205,7 +219,11 @@
 		return nil, errors.Wrap(err, "gateway: cannot connect")
 	}
 
-	return &conn{Conn: raw, reader: bufio.NewReaderSize(raw, readBufferSize), expires: now + idleTimeout}, nil
+	metered := &meteredConn{Conn: raw, memory: p.memory}
+
+	return &conn{
+		meteredConn: metered, reader: bufio.NewReaderSize(metered, readBufferSize), expires: now + idleTimeout,
+	}, nil
 }
 
 // prune closes expired connections and those to upstreams that are no longer known.
--- /dev/null
+++ b/io/gateway/endless_test.go
@@ -0,0 +1,280 @@
+package gateway_test
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"runtime"
+	"runtime/metrics"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"jacinthferry/core/catalog"
+	"jacinthferry/core/clock"
+	"jacinthferry/core/event"
+	"jacinthferry/core/gather"
+	"jacinthferry/core/reason"
+	"jacinthferry/io/gateway"
+	"jacinthferry/io/timer"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+// endless is a kind of bytes that an upstream sends without end: start once, and then part until the caller
+// closes the connection.
+type endless struct {
+	name  string
+	start string
+	part  string
+	pause time.Duration
+	// malformed is set if the bytes are refused for their form before they are too many.
+	malformed bool
+}
+
+const (
+	okHead      = "HTTP/1.1 200 OK\r\n"
+	chunkedHead = okHead + "Transfer-Encoding: chunked\r\n\r\n"
+)
+
+var filler = strings.Repeat("x", 64<<10)
+
+var endlessKinds = []endless{
+	{name: "bytes without a line end", part: filler},
+	{name: "a header line", start: okHead + "X: ", part: filler},
+	{name: "header lines", start: okHead, part: strings.Repeat("X: y\r\n", 10_000)},
+	{name: "interim responses", part: strings.Repeat("HTTP/1.1 103 Early Hints\r\n\r\n", 2000)},
+	{name: "a body without length", start: okHead + "\r\n", part: filler},
+	{name: "a body with a length", start: okHead + "Content-Length: 999999999999\r\n\r\n", part: filler},
+	{name: "chunks", start: chunkedHead, part: strings.Repeat("10\r\n0123456789abcdef\r\n", 3000)},
+	{name: "tiny chunks", start: chunkedHead, part: strings.Repeat("1\r\nx\r\n", 10_000), malformed: true},
+	{name: "a chunk extension", start: chunkedHead + "1;", part: filler, malformed: true},
+	{name: "trailers", start: chunkedHead + "0\r\n", part: strings.Repeat("X: y\r\n", 10_000), malformed: true},
+	{name: "one byte at a time", start: okHead + "X: ", part: "x", pause: 100 * time.Millisecond, malformed: true},
+}
+
+// endlessServer is an upstream that sends bytes without end, or a record with its address if kind is nil.
+type endlessServer struct {
+	upstream *catalog.Upstream
+	kind     *endless
+	runs     atomic.Int64
+}
+
+func newEndlessServer(id, service string, kind *endless) *endlessServer {
+	listener, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	s := &endlessServer{kind: kind, upstream: &catalog.Upstream{
+		ID: id, Service: service, Address: listener.Addr().String(), Slots: 2,
+	}}
+	DeferCleanup(listener.Close)
+	go func() {
+		for {
+			c, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go s.serve(c)
+		}
+	}()
+
+	return s
+}
+
+func (s *endlessServer) serve(c net.Conn) {
+	defer func() { _ = c.Close() }()
+	reader := bufio.NewReader(c)
+	for {
+		r, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		_ = r.Body.Close()
+		s.runs.Add(1)
+		if s.kind == nil {
+			_, _ = fmt.Fprintf(c, "%sContent-Length: 16\r\n\r\n%16s", okHead, s.upstream.ID)
+
+			continue
+		}
+		_, err = io.WriteString(c, s.kind.start)
+		for err == nil {
+			_, err = io.WriteString(c, s.kind.part)
+			time.Sleep(s.kind.pause)
+		}
+
+		return
+	}
+}
+
+// watchHeap samples the live bytes on the heap and returns a function that stops it and returns the largest
+// increase.
+func watchHeap() (peak func() uint64) {
+	sample := []metrics.Sample{{Name: "/gc/heap/live:bytes"}}
+	read := func() uint64 {
+		runtime.GC()
+		metrics.Read(sample)
+
+		return sample[0].Value.Uint64()
+	}
+	first := read()
+	highest := first
+	stop, stopped := make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(stopped)
+		for {
+			select {
+			case <-stop:
+				return
+			case <-time.After(5 * time.Millisecond):
+				highest = max(highest, read())
+			}
+		}
+	}()
+
+	return func() uint64 {
+		close(stop)
+		<-stopped
+
+		return highest - first
+	}
+}
+
+var _ = Describe("upstreams that send bytes without end", func() {
+	const (
+		shards  = 60
+		memory  = 8 << 20
+		timeout = 1500 * clock.Millisecond
+		// heapLimit is half of the smallest machine.
+		heapLimit  = 92 << 20
+		concurrent = 4
+	)
+	var mu sync.Mutex
+	var events []event.Event
+	sized := func() int {
+		mu.Lock()
+		defer mu.Unlock()
+		n := 0
+		for _, e := range events {
+			if e.Kind == event.Connection && e.Reason == reason.Size {
+				n++
+			}
+		}
+
+		return n
+	}
+	BeforeEach(func() { events = nil })
+
+	// newGateway returns a gateway for a route that gathers all shards and one to the first of them.
+	newGateway := func(upstreams []*catalog.Upstream) *gateway.Gateway {
+		gathered := catalog.Route{Name: "all", Host: "h", Prefix: "/all/", Top: 10, MinCoverage: 0.5}
+		single := catalog.Route{Name: "one", Host: "h", Prefix: "/one/", Service: "s0"}
+		services := make([]catalog.Service, shards)
+		for i := range services {
+			services[i].Name = fmt.Sprint("s", i)
+			gathered.Shards = append(gathered.Shards, services[i].Name)
+		}
+		routes := []catalog.Route{gathered, single}
+		for i := range routes {
+			routes[i].Idempotent, routes[i].Attempts = true, 2
+			routes[i].Timeout, routes[i].Objective = timeout, timeout/2
+		}
+		view := catalog.NewView(catalog.NewConfig(1, 1, routes, services, catalog.Limits{}), upstreams, nil)
+		now := timer.NewClock()
+
+		return gateway.New(gateway.Options{
+			Now: now, View: func() *catalog.View { return view }, DaemonCount: func() int { return 1 },
+			StoreContact: now, Observe: func(string, clock.Milli, bool) {}, BodyMemory: memory,
+			Record: func(e event.Event) {
+				mu.Lock()
+				defer mu.Unlock()
+				events = append(events, e)
+			},
+			Codec: gateway.Codec{
+				Encode: func(*gateway.Call, *catalog.Upstream, clock.Milli) http.Header { return nil },
+				Decode: func(int, http.Header) gateway.UpstreamResponse { return gateway.UpstreamResponse{Stamp: "s"} },
+			},
+			Policy: gather.Policy{RetryRatio: 1, RetrySlack: 1000, DeadlineMargin: 5},
+		})
+	}
+	send := func(g *gateway.Gateway, path string) gateway.Response {
+		response := g.Serve(context.Background(), &gateway.Call{
+			ID: "r", Method: http.MethodGet, Host: "h", Target: path, Path: path, Header: http.Header{}, Arrived: timer.NewClock()(),
+		})
+		response.Release()
+
+		return response
+	}
+
+	for i := range endlessKinds {
+		kind := &endlessKinds[i]
+
+		It("cost little memory, and requests end in time, when all of them send "+kind.name, func() {
+			var upstreams []*catalog.Upstream
+			for i := range shards {
+				service := fmt.Sprint("s", i)
+				upstreams = append(upstreams,
+					newEndlessServer(service+"-a", service, kind).upstream, newEndlessServer(service+"-b", service, kind).upstream)
+			}
+			g := newGateway(upstreams)
+			peak := watchHeap()
+			start := time.Now()
+			var wg sync.WaitGroup
+			for range concurrent {
+				wg.Go(func() {
+					defer GinkgoRecover()
+					Expect(send(g, "/all/1").Refusal).NotTo(BeNil())
+				})
+			}
+			wg.Wait()
+			elapsed := time.Since(start)
+			used := peak()
+			AddReportEntry(kind.name, fmt.Sprintf("%d MiB, %v, %d legs over the limit", used>>20, elapsed, sized()))
+			Expect(used).To(BeNumerically("<", heapLimit))
+			Expect(elapsed).To(BeNumerically("<", timeout.Duration()+time.Second))
+			if !kind.malformed {
+				Expect(sized()).To(BeNumerically(">=", shards))
+			}
+			Eventually(g.HeldBodyMemory).WithTimeout(2 * time.Second).Should(BeZero())
+		})
+
+		It("are replaced by others, which answer in full, when half of them send "+kind.name, func() {
+			var upstreams []*catalog.Upstream
+			var bad []*endlessServer
+			for i := range shards {
+				service := fmt.Sprint("s", i)
+				broken := newEndlessServer(service+"-a", service, kind)
+				bad = append(bad, broken)
+				upstreams = append(upstreams, broken.upstream, newEndlessServer(service+"-b", service, nil).upstream)
+			}
+			g := newGateway(upstreams)
+			for range 6 {
+				response := send(g, "/all/1")
+				Expect(response.Refusal).To(BeNil())
+				Expect(response.Missing).To(BeZero())
+				Expect(response.Stamps).To(HaveLen(shards))
+			}
+			runs := int64(0)
+			for _, s := range bad {
+				runs += s.runs.Load()
+			}
+			Expect(runs).To(BeNumerically("<", 3*shards), "an upstream that did so is avoided")
+		})
+	}
+
+	It("are not taken for crashed, and a large body in full is forwarded while they send", func() {
+		kind := &endlessKinds[4]
+		upstreams := []*catalog.Upstream{newEndlessServer("s0-a", "s0", nil).upstream}
+		g := newGateway(append(upstreams, newEndlessServer("s1-a", "s1", kind).upstream))
+		Expect(send(g, "/all/1").Refusal).NotTo(BeNil())
+		Expect(bytes.TrimSpace(send(g, "/one/1").Forwarded.Body)).To(BeEquivalentTo("s0-a"))
+		for _, e := range events {
+			Expect(e.Kind).NotTo(Equal(event.Quarantine))
+			Expect(e.Detail).NotTo(ContainSubstring("crashed"))
+		}
+	})
+})
--- a/io/gateway/export_test.go
+++ b/io/gateway/export_test.go
@@ -34,3 +34,11 @@
 
 	return nil
 }
+
+// HeldBodyMemory returns how many bytes of the memory for bodies are held.
+func (g *Gateway) HeldBodyMemory() int {
+	g.memory.mu.Lock()
+	defer g.memory.mu.Unlock()
+
+	return g.memory.budget.Held()
+}
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -42,12 +42,15 @@
 	// Zone is the availability zone of this daemon.
 	Zone   string
 	Policy gather.Policy
+	// BodyMemory is how many bytes the large response bodies of all requests may hold together.
+	BodyMemory int
 }
 
 // Gateway serves requests. It is safe for concurrent use.
 type Gateway struct {
 	options Options
 	pool    *pool
+	memory  *bodyMemory
 
 	// mu guards the state that requests share: the coordinator, the balancer, the queries and the crashes.
 	mu          sync.Mutex
@@ -60,8 +63,10 @@
 func New(options Options) *Gateway {
 	balancer := balance.New(balance.Options{Zone: options.Zone, Daemons: options.DaemonCount, Uniform: rand.Float64})
 
+	memory := newBodyMemory(options.BodyMemory)
+
 	return &Gateway{
-		options: options, pool: newPool(), balancer: balancer, crashes: quarantine.NewCrashDetector(),
+		options: options, pool: newPool(memory), memory: memory, balancer: balancer, crashes: quarantine.NewCrashDetector(),
 		coordinator: gather.New(options.Policy, balancer, options.DaemonCount, rand.Float64),
 	}
 }
@@ -97,7 +102,8 @@
 	g.crashes.Prune(now)
 }
 
-// Serve returns the response to a call. It is zero if ctx ends first, that is, if the caller left.
+// Serve returns the response to a call, which must be released after use. It has neither an answer nor a refusal
+// if ctx ends first, that is, if the caller left.
 func (g *Gateway) Serve(ctx context.Context, call *Call) Response {
 	view := g.options.View()
 	if view == nil || view.Config == nil {
@@ -114,7 +120,7 @@
 		return g.refuseQuarantined(call, route, service)
 	}
 	p := &pendingRequest{
-		sender: &sender{gateway: g, call: call}, route: route, config: view.Config, done: make(chan struct{}),
+		sender: &sender{gateway: g, call: call, top: route.Top}, route: route, config: view.Config, done: make(chan struct{}),
 	}
 	p.start(view)
 	select {
@@ -124,7 +130,10 @@
 		p.abandon()
 	}
 
-	return p.answer
+	answer := p.answer
+	answer.release = p.release
+
+	return answer
 }
 
 // unconfiguredRetryRatio is the fraction of the caller's remaining time after which it may retry when this
--- a/io/gateway/pending.go
+++ b/io/gateway/pending.go
@@ -27,6 +27,8 @@
 	cancels []func()
 	answer  Response
 	done    chan struct{}
+	// released is set once no body of a response is used any more.
+	released bool
 }
 
 // start begins the query and sends its first legs.
@@ -113,6 +115,9 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	p.replies[number] = reply
+	if p.released {
+		p.releaseReply(reply)
+	}
 	now := g.options.Now()
 	if reply != nil && reply.Warmup > 0 {
 		g.balancer.ExtendWarmup(now, now+reply.Warmup, u)
@@ -120,6 +125,24 @@
 	p.perform(now, p.query.HandleResult(now, number, result))
 }
 
+// release returns the memory of all bodies, also of those that are still to come.
+func (p *pendingRequest) release() {
+	p.gateway.mu.Lock()
+	defer p.gateway.mu.Unlock()
+	p.released = true
+	for _, reply := range p.replies {
+		p.releaseReply(reply)
+	}
+}
+
+func (p *pendingRequest) releaseReply(reply *UpstreamResponse) {
+	if reply == nil {
+		return
+	}
+	p.gateway.memory.release(reply.held)
+	reply.held = 0
+}
+
 // finish sets the answer from the outcome of the query, records the outcome, and closes done.
 func (p *pendingRequest) finish(now clock.Milli, outcome *gather.Outcome) {
 	defer close(p.done)
--- a/io/gateway/relay.go
+++ b/io/gateway/relay.go
@@ -83,6 +83,8 @@
 	leg   RelayResult
 	body  []byte
 	ended clock.Milli
+	// held is how many bytes of the memory for bodies the body holds.
+	held int
 }
 
 // SendLegs sends legs for another daemon and passes their results to send. It returns once all legs have
@@ -92,7 +94,7 @@
 func (g *Gateway) SendLegs(
 	ctx context.Context, call *Call, legs []RelayLeg, wait clock.Milli, top int, send func(RelayResponse),
 ) {
-	s := &sender{gateway: g, call: call, conns: make([]*conn, len(legs))}
+	s := &sender{gateway: g, call: call, top: top, conns: make([]*conn, len(legs))}
 	defer context.AfterFunc(ctx, s.cancelAll)()
 	relayed := make(chan relayedLeg, len(legs))
 	for i := range legs {
@@ -111,6 +113,7 @@
 				merged = append(merged, r)
 			} else {
 				send(RelayResponse{Results: []RelayResult{r.leg}, Body: r.body})
+				g.memory.release(r.held)
 			}
 		case <-flush:
 			flush = nil
@@ -121,6 +124,9 @@
 		}
 		if (open == 0 || flush == nil) && len(merged) > 0 {
 			send(g.merge(merged, top))
+			for i := range merged {
+				g.memory.release(merged[i].held)
+			}
 			merged = nil
 		}
 	}
@@ -170,7 +176,9 @@
 	if reply != nil {
 		r.leg.Stamp, r.leg.Warmup = reply.Stamp, reply.Warmup
 		if result.OK {
-			r.body = reply.Body
+			r.body, r.held = reply.Body, reply.held
+		} else {
+			g.memory.release(reply.held)
 		}
 	}
 	g.mu.Lock()
--- a/io/gateway/sender.go
+++ b/io/gateway/sender.go
@@ -18,6 +18,9 @@
 type sender struct {
 	gateway *Gateway
 	call    *Call
+	// top is how many records the answer takes of each response, or 0 for a request to one upstream, whose
+	// response is forwarded.
+	top int
 	// conns are the connections of the running legs, by their number. Other elements are nil.
 	conns []*conn
 	// abandoned is set once no one waits for responses any more.
@@ -44,7 +47,7 @@
 		return nil, gather.Result{Run: reason.NotExecuted, Reason: reason.Cancelled}
 	}
 	sentAt := g.options.Now()
-	reply, keep, sent, err := c.exchange(g.options.Now, &g.options.Codec, s.call, u, deadline)
+	reply, keep, sent, err := c.exchange(g.options.Now, &g.options.Codec, s.call, u, deadline, s.bodyLimit())
 	s.detach(number)
 	if keep {
 		g.pool.put(u.Key(), c)
@@ -55,6 +58,9 @@
 		return nil, s.handleError(u, sentAt, sent, err)
 	}
 
+	if s.top > 0 {
+		g.memory.reduce(reply, s.top)
+	}
 	result := s.handleResponse(u, reply)
 	if result.OK {
 		g.clearCrash(s.call, u.Service)
@@ -63,6 +69,15 @@
 	return reply, result
 }
 
+// bodyLimit returns how many bytes the body of a response may have.
+func (s *sender) bodyLimit() int {
+	if s.top > 0 {
+		return partLimit
+	}
+
+	return responseLimit
+}
+
 func (s *sender) connect(number int, u *catalog.Upstream, deadline clock.Milli) (*conn, error) {
 	g := s.gateway
 	now := g.options.Now()
@@ -121,15 +136,19 @@
 		// The error is taken to come from the cancellation of the leg.
 		return gather.Result{Run: run, Reason: reason.Cancelled, Sent: sent}
 	}
+	word := reason.Failed
+	if isTooLarge(err) {
+		word = reason.Size
+	}
 	s.gateway.options.Record(event.Event{
-		Kind: event.Connection, Reason: reason.Failed, Service: u.Service, Upstream: u.ID, Request: s.call.ID,
+		Kind: event.Connection, Reason: word, Service: u.Service, Upstream: u.ID, Request: s.call.ID,
 		Detail: err.Error(),
 	})
-	if sent && !isTimeout(err) {
+	if sent && word == reason.Failed && !isTimeout(err) {
 		go s.gateway.checkCrash(s.call, u, quarantine.Attempt{Sent: sentAt, Broken: s.gateway.options.Now()})
 	}
 
-	return gather.Result{Run: run, Reason: reason.Failed, Sent: sent}
+	return gather.Result{Run: run, Reason: word, Sent: sent}
 }
 
 // handleResponse returns the result of a leg that got a response, and records one that is not good.
--- a/io/peer/control.go
+++ b/io/peer/control.go
@@ -210,6 +210,9 @@
 	if err != nil {
 		return nil, errors.Wrap(ErrInvalidControl, err.Error())
 	}
+	if len(data) > maxChangeBytes {
+		return nil, errors.Wrapf(ErrInvalidControl, "change is over %d bytes", maxChangeBytes)
+	}
 	var compressed bytes.Buffer
 	writer, err := flate.NewWriter(&compressed, flate.BestSpeed)
 	if err != nil {
@@ -222,10 +225,13 @@
 }
 
 func decompressChange(compressed []byte) (manifest.Change, error) {
-	data, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(compressed)), maxChangeBytes))
+	data, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(compressed)), maxChangeBytes+1))
 	if err != nil {
 		return manifest.Change{}, errors.Wrap(ErrInvalidControl, err.Error())
 	}
+	if len(data) > maxChangeBytes {
+		return manifest.Change{}, errors.Wrapf(ErrInvalidControl, "change is over %d bytes", maxChangeBytes)
+	}
 	var w changeMessage
 	if err := cbor.Unmarshal(data, &w); err != nil {
 		return manifest.Change{}, errors.Wrap(ErrInvalidControl, err.Error())
