Mend faults found while reading the entry daemon

Without a spec yet: core/gather kept the latencies of removed routes; io/gateway took any failure after the caller left for the cancellation, so that a crash was not seen.

--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -235,11 +235,11 @@
 	}
 }
 
-// Prune removes the state of upstreams that have not been heard of for stateTTL and have no request in
-// flight.
+// Prune removes the state of upstreams that have not been heard of for stateTTL, have no request in flight and may
+// get requests.
 func (b *Balancer) Prune(now clock.Milli) {
 	for k, s := range b.states {
-		if len(s.inFlight) == 0 && now-s.updated > stateTTL {
+		if len(s.inFlight) == 0 && now-s.updated > stateTTL && now >= s.blockedUntil {
 			delete(b.states, k)
 		}
 	}
--- a/core/balance/balance_test.go
+++ b/core/balance/balance_test.go
@@ -100,6 +100,16 @@
 		}
 	})
 
+	It("does not send there again before the address has rested, also after a removal of unused state", func() {
+		b := newBalancer(7)
+		b.Sent(start, service, near)
+		b.Replaced(start+1, start, near)
+		b.Prune(start + 40*clock.Second)
+		Expect(b.Choose(start+40*clock.Second, service, []*catalog.Upstream{near}, excludeNone)).To(BeNil())
+		b.Prune(start + 2*clock.Minute)
+		Expect(b.Choose(start+2*clock.Minute, service, []*catalog.Upstream{near}, excludeNone)).To(Equal(near))
+	})
+
 	It("uses no more than its share of the connections that an upstream accepts", func() {
 		b := newBalancer(7)
 		only := []*catalog.Upstream{near}
--- a/core/catalog/config.go
+++ b/core/catalog/config.go
@@ -127,6 +127,19 @@
 	return nil
 }
 
+// HasRoute reports whether the configuration has a route with the given name.
+func (c *Config) HasRoute(name string) bool {
+	for _, prefixes := range c.routes {
+		for _, r := range prefixes {
+			if r.Name == name {
+				return true
+			}
+		}
+	}
+
+	return false
+}
+
 func withoutPort(host string) string {
 	if i := strings.LastIndexByte(host, ':'); i >= 0 {
 		return host[:i]
--- a/core/gather/coordinator.go
+++ b/core/gather/coordinator.go
@@ -167,8 +167,8 @@
 	return w
 }
 
-// Prune drops the retry budgets of services that the view no longer has and the upstreams that the balancer
-// no longer needs.
+// Prune drops the retry budgets of services and the latencies of routes that the view no longer has, and the
+// upstreams that the balancer no longer needs.
 func (c *Coordinator) Prune(now clock.Milli, view *catalog.View) {
 	c.balancer.Prune(now)
 	for name := range c.budgets {
@@ -176,6 +176,11 @@
 			delete(c.budgets, name)
 		}
 	}
+	for name := range c.latencies {
+		if !view.Config.HasRoute(name) {
+			delete(c.latencies, name)
+		}
+	}
 }
 
 // Request is a caller's request.
--- a/core/quarantine/crashes.go
+++ b/core/quarantine/crashes.go
@@ -87,8 +87,9 @@
 // Empty reports whether no request is suspect or in quarantine.
 func (c *CrashDetector) Empty() bool { return len(c.tracker.suspects) == 0 }
 
-// Prune forgets the visits and probes that are too old to count.
+// Prune forgets the suspects, visits and probes that are too old to count.
 func (c *CrashDetector) Prune(now clock.Milli) {
+	c.tracker.Prune(now)
 	for p, v := range c.lastCrash {
 		if now-v.Broken > crashWindow {
 			delete(c.lastCrash, p)
--- a/core/quarantine/crashes_test.go
+++ b/core/quarantine/crashes_test.go
@@ -43,6 +43,14 @@
 		Expect(c.RecordCrash(now+20, quarantine.Attempt{Sent: now + 12, Broken: now + 15}, p, two)).To(BeFalse())
 	})
 
+	It("is forgotten after its time without another request", func() {
+		c.RecordCrash(now, quarantine.Attempt{Sent: now, Broken: now + 5}, p, one)
+		c.Prune(now + 59*clock.Second)
+		Expect(c.Empty()).To(BeFalse())
+		c.Prune(now + 61*clock.Second)
+		Expect(c.Empty()).To(BeTrue())
+	})
+
 	It("leads to quarantine at once if another daemon found it", func() {
 		c.Quarantine(now, p)
 		Expect(c.Quarantined(now, p)).To(BeTrue())
--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -227,6 +227,13 @@
 	return nil
 }
 
+// Prune removes the suspects that have expired.
+func (t *Tracker) Prune(now clock.Milli) {
+	for p := range t.suspects {
+		t.lookup(now, p)
+	}
+}
+
 func (t *Tracker) removeSuspect(p Fingerprint) {
 	if t.suspects[p].quarantined {
 		t.quarantined--
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -136,15 +136,23 @@
 	return answer
 }
 
-// unconfiguredRetryRatio is the fraction of the caller's remaining time after which it may retry when this
-// daemon has no configuration: the longer it waits, the more likely a retry is to succeed.
-const unconfiguredRetryRatio = 0.3
+const (
+	// unconfiguredRetryRatio is the fraction of the caller's remaining time after which it may retry when this
+	// daemon has no configuration: the longer it waits, the more likely a retry is to succeed.
+	unconfiguredRetryRatio = 0.3
+	// unconfiguredTimeout is the remaining time assumed of a caller that gave none.
+	unconfiguredTimeout = clock.Second
+)
 
 func (g *Gateway) refuse(call *Call, word reason.Code) Response {
 	g.options.Record(event.Event{Kind: event.Refusal, Reason: word, Request: call.ID})
+	left := call.Timeout
+	if left <= 0 {
+		left = unconfiguredTimeout
+	}
 
 	return Response{
-		Refusal: reason.NewRefusal(word, reason.NotExecuted, ""), RetryAfter: unconfiguredRetryRatio * call.Timeout,
+		Refusal: reason.NewRefusal(word, reason.NotExecuted, ""), RetryAfter: unconfiguredRetryRatio * left,
 	}
 }
 
--- a/io/gateway/sender.go
+++ b/io/gateway/sender.go
@@ -132,8 +132,8 @@
 	if !sent {
 		run = reason.NotExecuted
 	}
-	if s.isAbandoned() {
-		// The error is taken to come from the cancellation of the leg.
+	if s.isAbandoned() && isTimeout(err) {
+		// The leg was cancelled by a deadline in the past.
 		return gather.Result{Run: run, Reason: reason.Cancelled, Sent: sent}
 	}
 	word := reason.Failed
--- a/io/relay/relay_test.go
+++ b/io/relay/relay_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/coder/websocket"
+	"github.com/fxamacker/cbor/v2"
 
 	"jacinthferry/core/balance"
 	"jacinthferry/core/catalog"
@@ -202,6 +203,23 @@
 		}
 	})
 
+	It("is closed after a second request with the ID of one that is running", func() {
+		remote := newRemoteDaemon()
+		conn, _, err := websocket.Dial(context.Background(), remote.server.URL+relay.Path, nil) //nolint:bodyclose // The WebSocket owns it.
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(conn.CloseNow)
+		ask, err := cbor.Marshal(map[string]any{"ask": map[string]any{"id": 7, "request": "r"}})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(conn.Write(context.Background(), websocket.MessageBinary, ask)).To(Succeed())
+		var first *relayedCall
+		Eventually(remote.calls).WithTimeout(timeout).Should(Receive(&first))
+		Expect(conn.Write(context.Background(), websocket.MessageBinary, ask)).To(Succeed())
+		_, _, err = conn.Read(context.Background())
+		Expect(err).To(HaveOccurred())
+		Eventually(first.ctx.Done()).WithTimeout(timeout).Should(BeClosed())
+		Expect(remote.calls).To(BeEmpty())
+	})
+
 	It("is closed after an invalid message", func() {
 		remote := newRemoteDaemon()
 		for _, text := range []string{"", "nonsense", "\xa0", strings.Repeat("\x9f", 1000)} {
--- a/io/relay/server.go
+++ b/io/relay/server.go
@@ -66,8 +66,10 @@
 
 			return
 		}
-		if m.Request != nil {
-			c.start(ctx, m.Request)
+		if m.Request != nil && !c.start(ctx, m.Request) {
+			klog.InfoS("relay connection closed after a second request with a running ID", "id", m.Request.ID)
+
+			return
 		}
 		if m.Cancel != 0 {
 			c.cancel(m.Cancel)
@@ -75,18 +77,24 @@
 	}
 }
 
-// start sends the legs of a request in a goroutine of their own.
-func (c *serverConn) start(ctx context.Context, r *request) {
-	ctx, cancel := context.WithCancel(ctx)
+// start sends the legs of a request in a goroutine of their own. It reports false if another request with the same
+// ID is running.
+func (c *serverConn) start(ctx context.Context, r *request) bool {
 	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.cancels[r.ID] != nil {
+		return false
+	}
+	ctx, cancel := context.WithCancel(ctx)
 	c.cancels[r.ID] = cancel
-	c.mu.Unlock()
 	go func() {
 		defer c.cancel(r.ID)
 		c.server.SendLegs(ctx, r.call(c.server.Now()), r.relayLegs(), r.MergeWait, r.Top, func(d gateway.RelayResponse) {
 			c.write(newResponse(r.ID, d))
 		})
 	}()
+
+	return true
 }
 
 // cancel cancels the legs of a request that are still running.
