--- a/soak/testbed/upstreams.go
+++ b/soak/testbed/upstreams.go
@@ -75,7 +75,7 @@
 
 // upstreamFaults returns the faults that a step injects into an upstream.
 func upstreamFaults(k StepKind) registered.Faults {
-	const errorRate, slowdown = 0.3, 10
+	const errorRate, endlessRate, slowdown = 0.3, 0.1, 10
 	switch k {
 	case Slow:
 		return registered.Faults{SlowdownFactor: slowdown}
@@ -84,7 +84,7 @@
 	case Lose:
 		return registered.Faults{LostShare: errorRate}
 	default:
-		return registered.Faults{TruncatedShare: errorRate, ExtraResponseShare: errorRate}
+		return registered.Faults{TruncatedShare: errorRate, ExtraResponseShare: errorRate, EndlessShare: endlessRate}
 	}
 }
 
