--- a/core/rollout/analyzer.go
+++ b/core/rollout/analyzer.go
@@ -14,10 +14,11 @@
 	// excessThreshold is the cumulative sum (CUSUM) of failures beyond what is allowed at which a version is
 	// found to be bad.
 	excessThreshold = 3
-	// A version that has yet to prove itself is assumed to fail badAllowance more often than failureFactor
-	// times the old one. A healthy one fails as often as the old one, and at least at the rate minHealthyRate.
-	badAllowance   = 0.2
+	// The odds compare two failure rates. A healthy version fails as often as the old one, and at least at
+	// minHealthyRate. A bad one fails badAllowance more often than failureFactor times that, and at most at
+	// maxBadRate.
 	minHealthyRate = 0.03
+	badAllowance   = 0.2
 	maxBadRate     = 0.9
 	// initialDoubt is the log-likelihood ratio of a bad version against a healthy one before the first answer:
 	// a version counts as healthy once the odds against it have fallen by a factor of 100.
@@ -78,20 +79,24 @@
 		}
 		a.rollouts[service] = ra
 	}
+	change := 0.0
 	for name, sum := range sums {
-		ra.add(name, sum)
+		change += ra.route(name).add(sum)
 	}
+	ra.doubt = min(initialDoubt, max(0, ra.doubt+change))
 
 	return ra.verdict()
 }
 
-func (a *rolloutAnalysis) add(route string, sum Counts) {
-	r := a.routes[route]
+// route returns the analysis of a route and creates it if necessary.
+func (a *rolloutAnalysis) route(name string) *routeAnalysis {
+	r := a.routes[name]
 	if r == nil {
 		r = &routeAnalysis{}
-		a.routes[route] = r
+		a.routes[name] = r
 	}
-	a.doubt = min(initialDoubt, max(0, a.doubt+r.add(sum)))
+
+	return r
 }
 
 func (a *rolloutAnalysis) verdict() Verdict {
--- a/core/rollout/rollout.go
+++ b/core/rollout/rollout.go
@@ -29,9 +29,9 @@
 	// the requests, and minPostCanary the least time that is left for the rest of the rollout.
 	canaryFraction = 0.65
 	minPostCanary  = 8 * clock.Second
-	// minPostTrial is the least time that is left for a version that proves itself only after the canary's
-	// time: for shiftDuration and the writes of the last steps.
-	minPostTrial = 5 * clock.Second
+	// minPostVerdict is the least time that is left when a version is found healthy only after the canary's time:
+	// for shiftDuration and the writes of the last steps.
+	minPostVerdict = 5 * clock.Second
 	// shiftDuration is how long all requests go to the new version before the rollout is completed:
 	// meanwhile other daemons learn of the step, and requests at the old version end.
 	shiftDuration = 3 * clock.Second
@@ -61,7 +61,7 @@
 		return enter(catalog.RolledBack)
 	case stage == catalog.Canary && verdict == Healthy && now >= order.Seen+order.canaryDuration():
 		return enter(catalog.Shifted)
-	case stage == catalog.Canary && now >= order.Seen+order.MaxDuration-minPostTrial:
+	case stage == catalog.Canary && now >= order.Seen+order.MaxDuration-minPostVerdict:
 		return enter(catalog.RolledBack)
 	case stage == catalog.Shifted && now >= current.Seen+shiftDuration:
 		return enter(catalog.Completed)
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -36,8 +36,8 @@
 	// relayDialTimeout and relayAckTimeout are the same limits for links to other daemons.
 	relayDialTimeout = 500 * clock.Millisecond
 	relayAckTimeout  = clock.Second
-	// bodyMemoryPerMB is how many bytes of each megabyte of memory the large bodies of responses may take.
-	bodyMemoryPerMB = 256 << 10
+	// responseMemoryPerMB is how many bytes of each megabyte of memory the large responses of upstreams may take.
+	responseMemoryPerMB = 256 << 10
 	// maxStoreHeaderBytes and maxRelayHeaderBytes limit the size of a response's header.
 	maxStoreHeaderBytes = 64 << 10
 	maxRelayHeaderBytes = 16 << 10
@@ -97,7 +97,7 @@
 		Now:   now, View: e.registry.View, DaemonCount: e.registry.DaemonCount, StoreContact: e.registry.StoreContact,
 		Codec:  platform.NewCodec(),
 		Record: e.journal.Record, Observe: e.observe, OnQuarantine: e.registry.PublishQuarantined, Zone: s.Zone,
-		Policy: policy(s), BodyMemory: s.MemoryMB * bodyMemoryPerMB,
+		Policy: policy(s), ResponseMemory: s.MemoryMB * responseMemoryPerMB,
 	})
 	e.idle = socket.NewIdleCloser(now, func() clock.Milli { return e.gateway.Limits().IdleTimeout })
 	front := &platform.CallerHandler{
--- a/io/gateway/call.go
+++ b/io/gateway/call.go
@@ -71,7 +71,7 @@
 	Load *balance.Load
 	// Warmup is how much longer the upstream needs to warm up.
 	Warmup clock.Milli
-	// held is how many bytes of the memory for bodies the body holds.
+	// held is how many bytes of the memory for responses the body holds.
 	held int
 }
 
--- a/io/gateway/conn.go
+++ b/io/gateway/conn.go
@@ -169,12 +169,12 @@
 // pool holds idle connections to upstreams. It is safe for concurrent use.
 type pool struct {
 	dialer *net.Dialer
-	memory *bodyMemory
+	memory *responseMemory
 	mu     sync.Mutex
 	idle   map[catalog.Key][]*conn
 }
 
-func newPool(memory *bodyMemory) *pool {
+func newPool(memory *responseMemory) *pool {
 	return &pool{
 		dialer: socket.NewDialer(dialTimeout, ackTimeout), memory: memory, idle: make(map[catalog.Key][]*conn),
 	}
--- a/io/gateway/endless_test.go
+++ b/io/gateway/endless_test.go
@@ -190,7 +190,7 @@
 
 		return gateway.New(gateway.Options{
 			Now: now, View: func() *catalog.View { return view }, DaemonCount: func() int { return 1 },
-			StoreContact: now, Observe: func(string, clock.Milli, bool) {}, BodyMemory: memory,
+			StoreContact: now, Observe: func(string, clock.Milli, bool) {}, ResponseMemory: memory,
 			Record: func(e event.Event) {
 				mu.Lock()
 				defer mu.Unlock()
@@ -241,7 +241,7 @@
 			if !kind.malformed {
 				Expect(sized()).To(BeNumerically(">=", shards))
 			}
-			Eventually(g.HeldBodyMemory).WithTimeout(2 * time.Second).Should(BeZero())
+			Eventually(g.HeldMemory).WithTimeout(2 * time.Second).Should(BeZero())
 		})
 
 		It("are replaced by others, which answer in full, when half of them send "+kind.name, func() {
--- a/io/gateway/export_test.go
+++ b/io/gateway/export_test.go
@@ -35,8 +35,8 @@
 	return nil
 }
 
-// HeldBodyMemory returns how many bytes of the memory for bodies are held.
-func (g *Gateway) HeldBodyMemory() int {
+// HeldMemory returns how many bytes of the memory for responses are held.
+func (g *Gateway) HeldMemory() int {
 	g.memory.mu.Lock()
 	defer g.memory.mu.Unlock()
 
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -42,15 +42,15 @@
 	// Zone is the availability zone of this daemon.
 	Zone   string
 	Policy gather.Policy
-	// BodyMemory is how many bytes the large response bodies of all requests may hold together.
-	BodyMemory int
+	// ResponseMemory is how many bytes the large responses to all requests may hold together.
+	ResponseMemory int
 }
 
 // Gateway serves requests. It is safe for concurrent use.
 type Gateway struct {
 	options Options
 	pool    *pool
-	memory  *bodyMemory
+	memory  *responseMemory
 
 	// mu guards the state that requests share: the coordinator, the balancer, the queries and the crashes.
 	mu          sync.Mutex
@@ -63,7 +63,7 @@
 func New(options Options) *Gateway {
 	balancer := balance.New(balance.Options{Zone: options.Zone, Daemons: options.DaemonCount, Uniform: rand.Float64})
 
-	memory := newBodyMemory(options.BodyMemory)
+	memory := newResponseMemory(options.ResponseMemory)
 
 	return &Gateway{
 		options: options, pool: newPool(memory), memory: memory, balancer: balancer, crashes: quarantine.NewCrashDetector(),
--- a/io/gateway/body.go
+++ b/io/gateway/memory.go
@@ -40,7 +40,7 @@
 // reader at a time.
 type meteredConn struct {
 	net.Conn
-	memory *bodyMemory
+	memory *responseMemory
 	// allowance is how many bytes may be read. It can grow by up to extra bytes, which take memory. Held is how
 	// much they took.
 	allowance, extra, held int
@@ -88,22 +88,24 @@
 	return nil
 }
 
-// bodyMemory limits the memory that the large responses of all legs hold together. It is safe for concurrent use.
-type bodyMemory struct {
+// responseMemory limits the memory that the large responses of all legs hold together. It is safe for concurrent use.
+type responseMemory struct {
 	mu     sync.Mutex
 	budget *budget.Bytes
 }
 
-func newBodyMemory(limit int) *bodyMemory { return &bodyMemory{budget: budget.NewBytes(limit)} }
+func newResponseMemory(limit int) *responseMemory {
+	return &responseMemory{budget: budget.NewBytes(limit)}
+}
 
-func (m *bodyMemory) take(n int) bool {
+func (m *responseMemory) take(n int) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 
 	return m.budget.Take(n)
 }
 
-func (m *bodyMemory) release(n int) {
+func (m *responseMemory) release(n int) {
 	if n == 0 {
 		return
 	}
@@ -114,7 +116,7 @@
 
 // read reads a body of at most limit bytes, of which length are announced, or -1 if none. It returns the body and
 // how many bytes it holds of the memory, which the caller must release.
-func (m *bodyMemory) read(r io.Reader, length int64, limit int) (body []byte, held int, err error) {
+func (m *responseMemory) read(r io.Reader, length int64, limit int) (body []byte, held int, err error) {
 	// One more byte than announced lets the end be seen without a larger buffer.
 	body = make([]byte, 0, min(freeSize, max(minBodyBuffer, length+1)))
 	for {
@@ -148,7 +150,7 @@
 
 // reduce replaces a large body of a shard by its top greatest records, which is all that an answer takes of it, and
 // releases the memory of the rest.
-func (m *bodyMemory) reduce(reply *UpstreamResponse, top int) {
+func (m *responseMemory) reduce(reply *UpstreamResponse, top int) {
 	if reply.held == 0 {
 		return
 	}
--- a/io/gateway/relay.go
+++ b/io/gateway/relay.go
@@ -83,7 +83,7 @@
 	leg   RelayResult
 	body  []byte
 	ended clock.Milli
-	// held is how many bytes of the memory for bodies the body holds.
+	// held is how many bytes of the memory for responses the body holds.
 	held int
 }
 
