--- a/io/gateway/crash_test.go
+++ b/io/gateway/crash_test.go
@@ -81,11 +81,8 @@
 			Now: now, View: func() *catalog.View { return view }, DaemonCount: func() int { return 1 },
 			StoreContact: now, Record: func(event.Event) {}, Observe: func(string, clock.Milli, bool) {},
 			OnQuarantine: func(quarantine.Fingerprint) { notified.Add(1) },
-			Codec: gateway.Codec{
-				Encode: func(*gateway.Call, *catalog.Upstream, clock.Milli) http.Header { return nil },
-				Decode: func(int, http.Header) gateway.UpstreamResponse { return gateway.UpstreamResponse{Stamp: "s"} },
-			},
-			Policy: gather.Policy{RetryRatio: 0.2, RetrySlack: 50, DeadlineMargin: 5},
+			Codec:        plainCodec,
+			Policy:       gather.Policy{RetryRatio: 0.2, RetrySlack: 50, DeadlineMargin: 5},
 		})
 	}
 	send := func(ctx context.Context, path string) gateway.Response {
--- a/io/gateway/endless_test.go
+++ b/io/gateway/endless_test.go
@@ -192,8 +192,9 @@
 		busySlack = 2 * time.Second
 	)
 
-	// newGateway returns a gateway for a route that gathers all shards and one to the first of them.
-	newGateway := func(shards int, timeout, objective clock.Milli, upstreams []*catalog.Upstream) (*gateway.Gateway, *recorder) {
+	// newGateway returns a gateway for a route that gathers all shards and one to the first of them, and its events.
+	// Requests wait for at most the given time.
+	newGateway := func(shards int, wait, objective clock.Milli, upstreams []*catalog.Upstream) (*gateway.Gateway, *recorder) {
 		events := &recorder{}
 		gathered := catalog.Route{Name: "all", Host: "h", Prefix: "/all/", Top: 10, MinCoverage: 0.5}
 		single := catalog.Route{Name: "one", Host: "h", Prefix: "/one/", Service: "s0"}
@@ -205,7 +206,7 @@
 		routes := []catalog.Route{gathered, single}
 		for i := range routes {
 			routes[i].Idempotent, routes[i].Attempts = true, 2
-			routes[i].Timeout, routes[i].Objective = timeout, objective
+			routes[i].Timeout, routes[i].Objective = wait, objective
 		}
 		view := catalog.NewView(catalog.NewConfig(1, 1, routes, services, catalog.Limits{}), upstreams, nil)
 		now := timer.NewClock()
@@ -214,10 +215,7 @@
 			Now: now, View: func() *catalog.View { return view }, DaemonCount: func() int { return 1 },
 			StoreContact: now, Observe: func(string, clock.Milli, bool) {}, ResponseMemory: memory,
 			Record: events.record,
-			Codec: gateway.Codec{
-				Encode: func(*gateway.Call, *catalog.Upstream, clock.Milli) http.Header { return nil },
-				Decode: func(int, http.Header) gateway.UpstreamResponse { return gateway.UpstreamResponse{Stamp: "s"} },
-			},
+			Codec:  plainCodec,
 			Policy: gather.Policy{RetryRatio: 1, RetrySlack: 1000, DeadlineMargin: 5},
 		})
 
--- a/io/gateway/sender_test.go
+++ b/io/gateway/sender_test.go
@@ -23,10 +23,7 @@
 		DeferCleanup(server.Close)
 		g := gateway.New(gateway.Options{
 			Now: now, Record: func(event.Event) {}, DaemonCount: func() int { return 1 },
-			Codec: gateway.Codec{
-				Encode: func(*gateway.Call, *catalog.Upstream, clock.Milli) http.Header { return nil },
-				Decode: func(int, http.Header) gateway.UpstreamResponse { return gateway.UpstreamResponse{Stamp: "s"} },
-			},
+			Codec: plainCodec,
 		})
 		u := &catalog.Upstream{ID: "u", Address: server.Listener.Addr().String()}
 		s := g.NewSender(&gateway.Call{ID: "r", Method: http.MethodGet, Host: "h", Target: "/"})
--- a/soak/testbed/service.go
+++ b/soak/testbed/service.go
@@ -6,6 +6,7 @@
 	"sync"
 
 	"jacinthferry/core/clock"
+	"jacinthferry/platform"
 	"jacinthferry/soak/check"
 	"jacinthferry/soak/proxy"
 	"jacinthferry/standin/registered"
@@ -21,8 +22,10 @@
 	upstreamServiceTime = 4 * clock.Millisecond
 	upstreamSlots       = 2
 	upstreamQueue       = 8
-	firstVersion        = "v1"
-	nextVersion         = "v2"
+	// registrationPoll is the time between two looks for an upstream's entry.
+	registrationPoll = 10 * clock.Millisecond
+	firstVersion     = "v1"
+	nextVersion      = "v2"
 )
 
 // service is a service and its upstreams.
@@ -63,7 +66,33 @@
 		}
 	}
 
-	return tb.startService(ctx, ordersService, ordersReplicas)
+	if err := tb.startService(ctx, ordersService, ordersReplicas); err != nil {
+		return err
+	}
+
+	return tb.awaitRegistration(ctx)
+}
+
+// awaitRegistration waits until all upstreams are in the store. A daemon that starts before may learn of the others a
+// second later, and refuses requests to them until then.
+func (tb *Testbed) awaitRegistration(ctx context.Context) error {
+	for _, s := range tb.services {
+		for _, p := range s.activeEndpoints() {
+			key := platform.UpstreamKey(p.currentUpstream().Options().ID)
+			for {
+				e, err := tb.store.Get(ctx, key)
+				if err != nil {
+					return err //nolint:wrapcheck // It is a refusal of the store.
+				}
+				if e.Revision != 0 {
+					break
+				}
+				tb.sleep(ctx, registrationPoll)
+			}
+		}
+	}
+
+	return nil
 }
 
 func (tb *Testbed) startService(ctx context.Context, name string, count int) error {
