Name requests that crash upstreams by a fingerprint in the log

The logs of the incident could not tell its hypotheses apart: crash lines named the ID of a caller's attempt, which is new each time, nothing said when a crash was seen and not attributed, or when a suspicion was cleared. Lines about crashes and quarantine now have `print`, there are lines for both of these, and one for what another daemon found. No decision changes. The spec fails without the field (0 lines with a fingerprint in place of 4).

--- a/core/event/event.go
+++ b/core/event/event.go
@@ -66,6 +66,8 @@
 	Upstream string
 	Daemon   string
 	Request  string
+	// Print is the fingerprint of the request, in hexadecimal; it is the same each time the request is sent.
+	Print    string
 	Revision uint64
 	Detail   string
 }
--- a/core/quarantine/crashes.go
+++ b/core/quarantine/crashes.go
@@ -80,6 +80,13 @@
 	return c.tracker.Quarantined(now, p)
 }
 
+// Suspected reports whether a crash is attributed to a request that is not in quarantine.
+func (c *CrashDetector) Suspected(now clock.Milli, p Fingerprint) bool {
+	s := c.tracker.lookup(now, p)
+
+	return s != nil && !s.quarantined
+}
+
 // RecordSuccess clears a request of earlier crashes because an upstream answered it. A request in quarantine
 // stays there.
 func (c *CrashDetector) RecordSuccess(p Fingerprint) { c.tracker.RecordSuccess(p, "") }
--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"fmt"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -11,6 +12,9 @@
 // Fingerprint identifies a request by a hash. It is the same for every resend of the request.
 type Fingerprint uint64
 
+// String returns the fingerprint in hexadecimal.
+func (p Fingerprint) String() string { return fmt.Sprintf("%016x", uint64(p)) }
+
 // FingerprintOf returns the fingerprint of the request that a service and a text identify.
 func FingerprintOf(service, text string) Fingerprint {
 	var d xxhash.Digest
--- a/io/gateway/crash.go
+++ b/io/gateway/crash.go
@@ -39,9 +39,17 @@
 func (g *Gateway) clearCrash(call *Call, service string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if !g.crashes.Empty() {
-		g.crashes.RecordSuccess(fingerprint(call, service))
+	if g.crashes.Empty() {
+		return
+	}
+	p := fingerprint(call, service)
+	if g.crashes.Suspected(g.options.Now(), p) {
+		g.options.Record(event.Event{
+			Kind: event.Quarantine, Service: service, Request: call.ID, Print: p.String(),
+			Detail: "answered: no longer a suspect",
+		})
 	}
+	g.crashes.RecordSuccess(p)
 }
 
 // Quarantine puts a request that another daemon has found to crash upstreams into quarantine, in which the
@@ -49,6 +57,7 @@
 func (g *Gateway) Quarantine(p quarantine.Fingerprint) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.options.Record(event.Event{Kind: event.Quarantine, Print: p.String(), Detail: "learned from another daemon"})
 	g.crashes.Quarantine(g.options.Now(), p)
 }
 
@@ -58,7 +67,10 @@
 	g.mu.Lock()
 	due := g.crashes.ShouldProbe(g.options.Now(), u.Key())
 	g.mu.Unlock()
+	p := fingerprint(call, u.Service)
 	if !due {
+		g.recordUnattributed(call, u, p, "another request probed the upstream")
+
 		return
 	}
 	c, err := g.pool.dial(context.Background(), g.options.Now(), u)
@@ -68,28 +80,37 @@
 		return
 	}
 	if isTimeout(err) {
+		g.recordUnattributed(call, u, p, "the probe timed out")
+
 		return
 	}
-	p := fingerprint(call, u.Service)
 	g.mu.Lock()
 	quarantined := g.crashes.RecordCrash(g.options.Now(), v, p, u.Key())
 	g.mu.Unlock()
 	g.options.Record(event.Event{
 		Kind: event.Upstream, Reason: reason.Connection, Service: u.Service, Upstream: u.ID, Request: call.ID,
-		Detail: "crashed while running the request",
+		Print: p.String(), Detail: "crashed while running the request",
 	})
 	if !quarantined {
 		return
 	}
 	g.options.Record(event.Event{
 		Kind: event.Quarantine, Reason: reason.Quarantine, Service: u.Service, Upstream: u.ID, Request: call.ID,
-		Detail: "second upstream that crashed while running the request",
+		Print: p.String(), Detail: "second upstream that crashed while running the request",
 	})
 	if g.options.OnQuarantine != nil {
 		g.options.OnQuarantine(p)
 	}
 }
 
+// recordUnattributed records that a connection broke and the request is not suspected, and why.
+func (g *Gateway) recordUnattributed(call *Call, u *catalog.Upstream, p quarantine.Fingerprint, why string) {
+	g.options.Record(event.Event{
+		Kind: event.Upstream, Reason: reason.Connection, Service: u.Service, Upstream: u.ID, Request: call.ID,
+		Print: p.String(), Detail: "broke the connection, not attributed to the request: " + why,
+	})
+}
+
 // isTimeout reports whether an error is a timeout, which does not show that the peer has terminated.
 func isTimeout(err error) bool {
 	var timeout net.Error
--- a/io/gateway/crash_test.go
+++ b/io/gateway/crash_test.go
@@ -11,7 +11,6 @@
 
 	"jacinthferry/core/catalog"
 	"jacinthferry/core/clock"
-	"jacinthferry/core/event"
 	"jacinthferry/core/gather"
 	"jacinthferry/core/quarantine"
 	"jacinthferry/core/reason"
@@ -68,6 +67,7 @@
 	var first, second *crashingServer
 	var notified atomic.Int64
 	var g *gateway.Gateway
+	var recorded *recorder
 
 	// setUpGateway sets up a gateway for a route to the two upstreams.
 	setUpGateway := func(route catalog.Route) {
@@ -77,9 +77,10 @@
 		view := catalog.NewView(config, []*catalog.Upstream{first.upstream, second.upstream}, nil)
 		notified.Store(0)
 		now := timer.NewClock()
+		recorded = &recorder{}
 		g = gateway.New(gateway.Options{
 			Now: now, View: func() *catalog.View { return view }, DaemonCount: func() int { return 1 },
-			StoreContact: now, Record: func(event.Event) {}, Observe: func(string, clock.Milli, bool) {},
+			StoreContact: now, Record: recorded.record, Observe: func(string, clock.Milli, bool) {},
 			OnQuarantine: func(quarantine.Fingerprint) { notified.Add(1) },
 			Codec:        plainCodec,
 			Policy:       gather.Policy{RetryRatio: 0.2, RetrySlack: 50, DeadlineMargin: 5},
@@ -117,6 +118,22 @@
 		Expect(send(ctx, "/poison/2").Refusal.Reason).NotTo(Equal(reason.Quarantine))
 	})
 
+	It("is named in the log by a fingerprint that its resends share", func(ctx SpecContext) {
+		first, second = newCrashingServer("u1", "a"), newCrashingServer("u2", "a")
+		setUpGateway(catalog.Route{Service: "a"})
+		send(ctx, "/poison/1")
+		Eventually(notified.Load).Should(BeEquivalentTo(1))
+		send(ctx, "/poison/1")
+		prints := map[string]int{}
+		for _, e := range recorded.list() {
+			if e.Print != "" {
+				prints[e.Print]++
+			}
+		}
+		// Two crashes, the verdict and a refusal.
+		Expect(prints).To(Equal(map[string]int{quarantine.FingerprintOf("a", "GET h/poison/1\n").String(): 4}))
+	})
+
 	It("is not refused when upstreams only break its connections", func(ctx SpecContext) {
 		first, second = newCrashingServer("u1", "a"), newCrashingServer("u2", "a")
 		setUpGateway(catalog.Route{Service: "a"})
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -160,6 +160,7 @@
 func (g *Gateway) refuseQuarantined(call *Call, route *catalog.Route, service string) Response {
 	g.options.Record(event.Event{
 		Kind: event.Refusal, Reason: reason.Quarantine, Service: route.Name, Request: call.ID,
+		Print:  fingerprint(call, service).String(),
 		Detail: "upstreams of " + service + " crashed while running the request, run no",
 	})
 
--- a/io/journal/journal.go
+++ b/io/journal/journal.go
@@ -190,6 +190,7 @@
 		{"upstream", e.Upstream},
 		{"daemon", e.Daemon},
 		{"request", e.Request},
+		{"print", e.Print},
 		{"detail", e.Detail},
 	} {
 		if f.value != "" {
--- a/io/journal/read.go
+++ b/io/journal/read.go
@@ -30,6 +30,7 @@
 	Upstream string    `json:"upstream"`
 	Daemon   string    `json:"daemon"`
 	Request  string    `json:"request"`
+	Print    string    `json:"print"`
 	Detail   string    `json:"detail"`
 	Revision uint64    `json:"revision"`
 	// Ago is the time from the event to Time, in milliseconds.
@@ -65,7 +66,7 @@
 	e := event.Event{
 		At: clock.FromTime(l.Time) - clock.Milli(l.Ago), Kind: event.Kind(l.Kind), Reason: reason.Code(l.Reason),
 		Service: l.Service, Version: l.Version, Zone: l.Zone, Upstream: l.Upstream, Daemon: l.Daemon,
-		Request: l.Request, Detail: l.Detail, Revision: l.Revision,
+		Request: l.Request, Print: l.Print, Detail: l.Detail, Revision: l.Revision,
 	}
 	if l.Message != eventMessage {
 		e.Kind, e.Daemon, e.Detail = event.Process, l.Name, l.Message
