--- a/io/gateway/crash_test.go
+++ b/io/gateway/crash_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -69,17 +70,23 @@
 	var g *gateway.Gateway
 	var recorded *recorder
 
-	// setUpGateway sets up a gateway for a route to the two upstreams.
-	setUpGateway := func(route catalog.Route) {
-		route.Host, route.Prefix, route.Idempotent = "h", "/", true
+	var view atomic.Pointer[catalog.View]
+	// setView sets the only route and the registered upstreams.
+	setView := func(route catalog.Route, upstreams ...*catalog.Upstream) {
+		route.Host, route.Prefix = "h", "/"
 		route.Timeout, route.Objective, route.Attempts = 500*clock.Millisecond, 250*clock.Millisecond, 2
 		config := catalog.NewConfig(1, 1, []catalog.Route{route}, []catalog.Service{{Name: "a"}, {Name: "b"}}, catalog.Limits{})
-		view := catalog.NewView(config, []*catalog.Upstream{first.upstream, second.upstream}, nil)
+		view.Store(catalog.NewView(config, upstreams, nil))
+	}
+	// setUpGateway sets up a gateway for an idempotent route to the two upstreams.
+	setUpGateway := func(route catalog.Route) {
+		route.Idempotent = true
+		setView(route, first.upstream, second.upstream)
 		notified.Store(0)
 		now := timer.NewClock()
 		recorded = &recorder{}
 		g = gateway.New(gateway.Options{
-			Now: now, View: func() *catalog.View { return view }, DaemonCount: func() int { return 1 },
+			Now: now, View: view.Load, DaemonCount: func() int { return 1 },
 			StoreContact: now, Record: recorded.record, Observe: func(string, clock.Milli, bool) {},
 			OnQuarantine: func(quarantine.Fingerprint) { notified.Add(1) },
 			Codec:        plainCodec,
@@ -134,6 +141,38 @@
 		Expect(prints).To(Equal(map[string]int{quarantine.FingerprintOf("a", "GET h/poison/1\n").String(): 4}))
 	})
 
+	It("stays refused after its route moved to another service", func(ctx SpecContext) {
+		first, second = newCrashingServer("u1", "a"), newCrashingServer("u2", "a")
+		setUpGateway(catalog.Route{Service: "a"})
+		send(ctx, "/poison/1")
+		Eventually(notified.Load).Should(BeEquivalentTo(1))
+		moved := newCrashingServer("u3", "b")
+		setView(catalog.Route{Service: "b"}, moved.upstream)
+		Expect(send(ctx, "/poison/1").Refusal.Reason).To(Equal(reason.Quarantine))
+		Expect(moved.runs.Load()).To(BeZero())
+		Expect(send(ctx, "/other").Refusal).To(BeNil())
+	})
+
+	It("is found among other requests that ran on the same upstreams", func(ctx SpecContext) {
+		first, second = newCrashingServer("u1", "a"), newCrashingServer("u2", "a")
+		setUpGateway(catalog.Route{Service: "a"})
+		for i, u := range []*crashingServer{first, second} {
+			setView(catalog.Route{Service: "a"}, u.upstream)
+			var open sync.WaitGroup
+			for n := range 10 {
+				open.Go(func() { send(ctx, fmt.Sprintf("/long/%d/%d", i, n)) })
+			}
+			Eventually(u.runs.Load).Should(BeEquivalentTo(10))
+			send(ctx, "/poison/1")
+			open.Wait()
+		}
+		first.start()
+		setView(catalog.Route{Service: "a"}, first.upstream)
+		before := first.runs.Load()
+		Expect(send(ctx, "/poison/1").Refusal.Reason).To(Equal(reason.Quarantine))
+		Expect(first.runs.Load()).To(Equal(before))
+	})
+
 	It("is not refused when upstreams only break its connections", func(ctx SpecContext) {
 		first, second = newCrashingServer("u1", "a"), newCrashingServer("u2", "a")
 		setUpGateway(catalog.Route{Service: "a"})
