Count the crashes that all daemons see under a request together

What callers saw: a request that crashed its upstreams went on crashing them, and everybody else on its route was refused or failed meanwhile, for more than 10 s. Cause: a daemon shared its verdict only, after two crashes of its own. Class: evidence about something shared, judged by each daemon alone. Now each crash is published at once, and counts everywhere. As that alone would put requests that many callers send into quarantine when a rack ends, a request that was answered in the last 10 s is not suspected. The record goes with a lease, so that one of a daemon that never returns does not stay for good; a restarted daemon knows its crashes again. Without the memory of answers, the new spec of core/quarantine is red. Two specs read the verdict where they now read the warnings and the events of quarantine; a third waited for the record of the verdict and waits for both crashes and the record. None asks less.

--- a/core/quarantine/crashes.go
+++ b/core/quarantine/crashes.go
@@ -20,6 +20,23 @@
 	quarantineLimit = 64
 	// probeInterval is the time between two probes of an upstream that broke a connection.
 	probeInterval = 200 * clock.Millisecond
+	// answeredSpan is how long at least an answer shows that a request does not crash upstreams, and answeredLimit
+	// the number of answered requests that are remembered for each such span.
+	answeredSpan  = 10 * clock.Second
+	answeredLimit = 4096
+)
+
+// Change says what a crash changed for the request that it is attributed to.
+type Change int
+
+// The changes.
+const (
+	// Unchanged says that the crash does not count, or was known.
+	Unchanged Change = iota
+	// Suspected says that the request is suspected of crashing upstreams.
+	Suspected
+	// Quarantined says that the request is in quarantine from now on.
+	Quarantined
 )
 
 // Attempt is the time that a request spent at an upstream, from when it was sent until the connection broke.
@@ -33,8 +50,11 @@
 // concurrent use.
 type CrashDetector struct {
 	tracker *Tracker
-	// lastCrash is the visit that ended with the last crash attributed to a request.
+	// lastCrash is the attempt that ended with the last crash attributed to a request.
 	lastCrash map[Fingerprint]Attempt
+	// answered and olderAnswered are the requests answered since rotatedAt and in the span before.
+	answered, olderAnswered map[Fingerprint]struct{}
+	rotatedAt               clock.Milli
 	// lastProbe is when an upstream was last probed.
 	lastProbe map[catalog.Key]clock.Milli
 }
@@ -43,7 +63,8 @@
 func NewCrashDetector() *CrashDetector {
 	return &CrashDetector{
 		tracker:   NewTracker(Config{Crashes: crashLimit, Window: crashWindow, Hold: Period, Limit: quarantineLimit}),
-		lastCrash: make(map[Fingerprint]Attempt), lastProbe: make(map[catalog.Key]clock.Milli),
+		lastCrash: make(map[Fingerprint]Attempt), answered: make(map[Fingerprint]struct{}),
+		lastProbe: make(map[catalog.Key]clock.Milli),
 	}
 }
 
@@ -58,43 +79,83 @@
 	return true
 }
 
-// RecordCrash attributes a crash of an upstream to a request that ran there, and reports whether that puts the
-// request into quarantine. Upstreams that crash together count once: the request may have run on all of
-// them without being the cause.
-func (c *CrashDetector) RecordCrash(now clock.Milli, v Attempt, p Fingerprint, upstream catalog.Key) bool {
+// RecordCrash attributes a crash of an upstream to a request that ran there, and returns what that changes and, if
+// anything, the warning to send to the other daemons. Upstreams that crash together count once: the request may have
+// run on all of them without being the cause.
+func (c *CrashDetector) RecordCrash(now clock.Milli, v Attempt, p Fingerprint, upstream catalog.Key) (Warning, Change) {
 	if last, known := c.lastCrash[p]; known && v.overlaps(last) {
-		return false
+		return Warning{}, Unchanged
 	}
 	c.lastCrash[p] = v
 	crash := xxhash.Sum64String(upstream.ID + " " + strconv.FormatInt(upstream.StartUnixMilli, 10))
-	_, quarantined := c.tracker.Merge(now, Warning{Fingerprint: p, Crashes: []uint64{crash}, Remaining: crashWindow})
+	w := Warning{Fingerprint: p, Crashes: []uint64{crash}, Remaining: crashWindow}
 
-	return quarantined
+	return w, c.Merge(now, w)
 }
 
-// Quarantine puts a request into quarantine that another daemon found to crash upstreams.
-func (c *CrashDetector) Quarantine(now clock.Milli, p Fingerprint) { c.tracker.Quarantine(now, p) }
+// Merge merges a warning of another daemon and returns what that changes. A request that was answered here a short
+// time ago is not suspected, since a request that crashes upstreams crashes each of them.
+func (c *CrashDetector) Merge(now clock.Milli, w Warning) Change {
+	if c.answeredLately(now, w.Fingerprint) {
+		return Unchanged
+	}
+	news, quarantined := c.tracker.Merge(now, w)
+	switch {
+	case quarantined:
+		return Quarantined
+	case news:
+		return Suspected
+	default:
+		return Unchanged
+	}
+}
 
 // Quarantined reports whether a request is in quarantine.
 func (c *CrashDetector) Quarantined(now clock.Milli, p Fingerprint) bool {
 	return c.tracker.Quarantined(now, p)
 }
 
-// Suspected reports whether a crash is attributed to a request that is not in quarantine.
-func (c *CrashDetector) Suspected(now clock.Milli, p Fingerprint) bool {
+// RecordSuccess records that an upstream answered a request, and reports whether that clears it of an earlier crash.
+// A request in quarantine stays there.
+func (c *CrashDetector) RecordSuccess(now clock.Milli, p Fingerprint) bool {
+	c.rotateAnswered(now)
+	c.answered[p] = struct{}{}
 	s := c.tracker.lookup(now, p)
+	if s == nil || s.quarantined {
+		return false
+	}
+	c.tracker.removeSuspect(p)
+
+	return true
+}
 
-	return s != nil && !s.quarantined
+func (c *CrashDetector) answeredLately(now clock.Milli, p Fingerprint) bool {
+	c.rotateAnswered(now)
+	if _, ok := c.answered[p]; ok {
+		return true
+	}
+	_, ok := c.olderAnswered[p]
+
+	return ok
 }
 
-// RecordSuccess clears a request of earlier crashes because an upstream answered it. A request in quarantine
-// stays there.
-func (c *CrashDetector) RecordSuccess(p Fingerprint) { c.tracker.RecordSuccess(p, "") }
+// rotateAnswered starts another span if the current one is over or holds too many requests.
+func (c *CrashDetector) rotateAnswered(now clock.Milli) {
+	switch age := now - c.rotatedAt; {
+	case age >= 2*answeredSpan:
+		c.olderAnswered = nil
+	case age >= answeredSpan || len(c.answered) >= answeredLimit:
+		c.olderAnswered = c.answered
+	default:
+		return
+	}
+	c.answered, c.rotatedAt = make(map[Fingerprint]struct{}), now
+}
 
 // Empty reports whether no request is suspect or in quarantine.
 func (c *CrashDetector) Empty() bool { return len(c.tracker.suspects) == 0 }
 
-// Prune forgets the suspects, visits and probes that are too old to count.
+// Prune forgets the suspects, attempts and probes that are too old to count.
 func (c *CrashDetector) Prune(now clock.Milli) {
 	c.tracker.Prune(now)
 	for p, v := range c.lastCrash {
--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -15,13 +15,15 @@
 // String returns the fingerprint in hexadecimal.
 func (p Fingerprint) String() string { return fmt.Sprintf("%016x", uint64(p)) }
 
-// FingerprintOf returns the fingerprint of the request that a service and a text identify.
-func FingerprintOf(service, text string) Fingerprint {
+// FingerprintOf returns the fingerprint of the request that a service and a text, given in parts, identify.
+func FingerprintOf(service string, text ...string) Fingerprint {
 	var d xxhash.Digest
 	d.Reset()
 	_, _ = d.WriteString(service)
 	_, _ = d.Write([]byte{0})
-	_, _ = d.WriteString(text)
+	for _, part := range text {
+		_, _ = d.WriteString(part)
+	}
 
 	return Fingerprint(d.Sum64())
 }
@@ -181,15 +183,6 @@
 	return news, t.quarantine(s, now+span)
 }
 
-// Quarantine puts a request into quarantine whose crashes are not known here.
-func (t *Tracker) Quarantine(now clock.Milli, p Fingerprint) {
-	s := t.lookup(now, p)
-	if s == nil {
-		s = t.addSuspect(now, p)
-	}
-	t.quarantine(s, now+t.config.Hold)
-}
-
 // quarantine puts a suspect into quarantine until an instant. It reports false if the suspect was there
 // already or the limit is reached.
 func (t *Tracker) quarantine(s *suspect, until clock.Milli) bool {
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -81,7 +81,7 @@
 	options := registry.Options{
 		Now: now, Store: platform.NewStore(s.StoreAddress, store), Decode: platform.DecodeEntry, Record: e.journal.Record,
 		Counts: e.counts, EncodeReport: platform.EncodeRolloutReport,
-		OnQuarantine: func(p quarantine.Fingerprint) { e.gateway.Quarantine(p) },
+		OnWarning: func(w quarantine.Warning) { e.gateway.MergeWarning(w) },
 		Self: registry.Member{
 			Name: s.Name, Front: s.RequestAddress, Zone: s.Zone, Relay: s.RelayAddress, Cores: s.Cores * s.CPUShare,
 		},
@@ -96,7 +96,7 @@
 		Relay: links.Send,
 		Now:   now, View: e.registry.View, DaemonCount: e.registry.DaemonCount, StoreContact: e.registry.StoreContact,
 		Codec:  platform.NewCodec(),
-		Record: e.journal.Record, Observe: e.observe, OnQuarantine: e.registry.PublishQuarantined, Zone: s.Zone,
+		Record: e.journal.Record, Observe: e.observe, OnCrash: e.registry.PublishCrash, Zone: s.Zone,
 		Policy: policy(s), ResponseMemory: s.MemoryMB * responseMemoryPerMB,
 	})
 	e.idle = socket.NewIdleCloser(now, func() clock.Milli { return e.gateway.Limits().IdleTimeout })
--- a/io/gateway/crash.go
+++ b/io/gateway/crash.go
@@ -14,7 +14,7 @@
 
 // fingerprint returns the fingerprint of a call to a service. It is the same whenever a caller repeats the call.
 func fingerprint(call *Call, service string) quarantine.Fingerprint {
-	return quarantine.FingerprintOf(service, call.Method+" "+call.Host+call.Target+"\n"+string(call.Body))
+	return quarantine.FingerprintOf(service, call.Method, " ", call.Host, call.Target, "\n", string(call.Body))
 }
 
 // quarantinedService returns the service of a route whose upstreams the call crashes, so that it must not be
@@ -35,30 +35,33 @@
 	return ""
 }
 
-// clearCrash removes the suspicion of an earlier crash from a call because an upstream has responded to it.
-func (g *Gateway) clearCrash(call *Call, service string) {
+// recordAnswered records that an upstream has answered a call, which shows that the call does not crash upstreams.
+func (g *Gateway) recordAnswered(call *Call, service string) {
+	p := fingerprint(call, service)
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.crashes.Empty() {
-		return
-	}
-	p := fingerprint(call, service)
-	if g.crashes.Suspected(g.options.Now(), p) {
+	if g.crashes.RecordSuccess(g.options.Now(), p) {
 		g.options.Record(event.Event{
 			Kind: event.Quarantine, Service: service, Request: call.ID, Print: p.String(),
 			Detail: "answered: no longer a suspect",
 		})
 	}
-	g.crashes.RecordSuccess(p)
 }
 
-// Quarantine puts a request that another daemon has found to crash upstreams into quarantine, in which the
-// gateway refuses it.
-func (g *Gateway) Quarantine(p quarantine.Fingerprint) {
+// MergeWarning merges what another daemon knows of a request that crashes upstreams.
+func (g *Gateway) MergeWarning(w quarantine.Warning) {
 	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.options.Record(event.Event{Kind: event.Quarantine, Print: p.String(), Detail: "learned from another daemon"})
-	g.crashes.Quarantine(g.options.Now(), p)
+	change := g.crashes.Merge(g.options.Now(), w)
+	g.mu.Unlock()
+	if change == quarantine.Unchanged {
+		return
+	}
+	g.options.Record(event.Event{
+		Kind: event.Quarantine, Print: w.Fingerprint.String(), Detail: "crash seen by another daemon",
+	})
+	if change == quarantine.Quarantined {
+		g.recordQuarantined(event.Event{Print: w.Fingerprint.String()})
+	}
 }
 
 // checkCrash checks whether an upstream whose connection broke while it ran a call still accepts connections.
@@ -85,22 +88,32 @@
 		return
 	}
 	g.mu.Lock()
-	quarantined := g.crashes.RecordCrash(g.options.Now(), v, p, u.Key())
+	warning, change := g.crashes.RecordCrash(g.options.Now(), v, p, u.Key())
 	g.mu.Unlock()
-	g.options.Record(event.Event{
-		Kind: event.Upstream, Reason: reason.Connection, Service: u.Service, Upstream: u.ID, Request: call.ID,
-		Print: p.String(), Detail: "crashed while running the request",
-	})
-	if !quarantined {
+	e := event.Event{Service: u.Service, Upstream: u.ID, Request: call.ID, Print: p.String()}
+	g.recordCrashed(e)
+	if change == quarantine.Unchanged {
 		return
 	}
-	g.options.Record(event.Event{
-		Kind: event.Quarantine, Reason: reason.Quarantine, Service: u.Service, Upstream: u.ID, Request: call.ID,
-		Print: p.String(), Detail: "second upstream that crashed while running the request",
-	})
-	if g.options.OnQuarantine != nil {
-		g.options.OnQuarantine(p)
+	if g.options.OnCrash != nil {
+		g.options.OnCrash(warning)
 	}
+	if change == quarantine.Quarantined {
+		g.recordQuarantined(e)
+	}
+}
+
+// recordCrashed records that the upstream of an event crashed while it ran the request.
+func (g *Gateway) recordCrashed(e event.Event) {
+	e.Kind, e.Reason, e.Detail = event.Upstream, reason.Connection, "crashed while running the request"
+	g.options.Record(e)
+}
+
+// recordQuarantined records that the request of an event is in quarantine from now on.
+func (g *Gateway) recordQuarantined(e event.Event) {
+	e.Kind, e.Reason = event.Quarantine, reason.Quarantine
+	e.Detail = "second upstream that crashed while running the request"
+	g.options.Record(e)
 }
 
 // recordUnattributed records that a connection broke and the request is not suspected, and why.
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -36,9 +36,9 @@
 	// takes the group. Results are passed to deliver in order of arrival, exactly one for each leg.
 	// Cancel aborts the legs that are still open. Relay may be nil.
 	Relay func(call *Call, group *gather.ZoneGroup, deliver func(RelayResponse)) (cancel func(), ok bool)
-	// OnQuarantine is called with the fingerprint of a request that this daemon has found to crash
-	// upstreams. It may be nil.
-	OnQuarantine func(quarantine.Fingerprint)
+	// OnCrash is called with a warning for the other daemons when an upstream has crashed while it ran a request.
+	// It may be nil.
+	OnCrash func(quarantine.Warning)
 	// Zone is the availability zone of this daemon.
 	Zone   string
 	Policy gather.Policy
--- a/io/gateway/sender.go
+++ b/io/gateway/sender.go
@@ -63,7 +63,7 @@
 	}
 	result := s.handleResponse(u, reply)
 	if result.OK {
-		g.clearCrash(s.call, u.Service)
+		g.recordAnswered(s.call, u.Service)
 	}
 
 	return reply, result
--- a/io/registry/entries.go
+++ b/io/registry/entries.go
@@ -1,8 +1,6 @@
 package registry
 
 import (
-	"slices"
-
 	"jacinthferry/core/clock"
 	"jacinthferry/core/event"
 	"jacinthferry/core/reason"
@@ -31,13 +29,7 @@
 	if record.Kind == Ignored {
 		return false
 	}
-	if r.options.OnQuarantine != nil {
-		for _, p := range record.Prints {
-			if !slices.Contains(old.record.Prints, p) {
-				r.options.OnQuarantine(p)
-			}
-		}
-	}
+	r.mergeCrashes(old.record.Crashes, record.Crashes)
 	r.recordChange(&old.record, &record, e)
 	r.entries[e.Key] = storedRecord{record: record, revision: e.Revision}
 
--- a/io/registry/moves.go
+++ b/io/registry/moves.go
@@ -101,7 +101,7 @@
 	if err != nil {
 		return err
 	}
-	done, err := r.compareAndSwap(ctx, now, moveKey(o.Service), text, stored.revision)
+	done, err := r.compareAndSwap(ctx, now, moveKey(o.Service), text, stored.revision, "")
 	if err != nil || !done {
 		return err
 	}
@@ -132,16 +132,18 @@
 		return err
 	}
 	if stored := r.entries[key]; stored.record.Text != text {
-		_, err = r.compareAndSwap(ctx, now, key, text, stored.revision)
+		_, err = r.compareAndSwap(ctx, now, key, text, stored.revision, "")
 	}
 
 	return err
 }
 
 // compareAndSwap writes a key if its revision is still the expected one, and applies the change locally
-// at once. It reports false when another daemon wrote the key first.
-func (r *Registry) compareAndSwap(ctx context.Context, now clock.Milli, key, text string, expect int64) (bool, error) {
-	done, err := r.options.Store.Put(ctx, key, text, expect, "")
+// at once. The key goes with the lease, if one is given. It reports false when another daemon wrote the key first.
+func (r *Registry) compareAndSwap(
+	ctx context.Context, now clock.Milli, key, text string, expect int64, lease string,
+) (bool, error) {
+	done, err := r.options.Store.Put(ctx, key, text, expect, lease)
 	if err != nil {
 		return false, errors.Wrapf(err, "registry: cannot write %s", key)
 	}
--- a/io/registry/quarantine.go
+++ b/io/registry/quarantine.go
@@ -5,6 +5,8 @@
 	"encoding/json"
 	"slices"
 
+	"github.com/pkg/errors"
+
 	"jacinthferry/core/clock"
 	"jacinthferry/core/event"
 	"jacinthferry/core/quarantine"
@@ -13,88 +15,134 @@
 )
 
 const (
-	// quarantinePrefix is the key prefix under which daemons publish the fingerprints of requests that
-	// they found to crash upstreams. The daemon's name follows.
-	quarantinePrefix = "jacinthferry/quarantine/"
-	// maxCrashPrints is how many fingerprints a daemon publishes at most; it keeps the newest.
-	maxCrashPrints = 64
+	// crashesPrefix is the key prefix under which daemons publish the crashes that they saw. The daemon's name
+	// follows.
+	crashesPrefix = "jacinthferry/quarantine/"
+	// maxCrashes is how many crashes a daemon publishes at most; it keeps the newest.
+	maxCrashes = 256
 )
 
-type quarantineRecord struct {
-	Prints []quarantine.Fingerprint `json:"prints"`
+// crash is the crash of a process of an upstream while it ran a request.
+type crash struct {
+	Print quarantine.Fingerprint `json:"print"`
+	// Process identifies the process that crashed.
+	Process uint64 `json:"process"`
+}
+
+func (c crash) warning() quarantine.Warning {
+	return quarantine.Warning{Fingerprint: c.Print, Crashes: []uint64{c.Process}, Remaining: quarantine.Period}
 }
 
-func decodeQuarantine(e store.Entry) (Record, error) {
-	var record quarantineRecord
+type crashesRecord struct {
+	Crashes []crash `json:"crashes"`
+}
+
+func decodeCrashes(e store.Entry) (Record, error) {
+	var record crashesRecord
 	if err := json.Unmarshal([]byte(e.Value), &record); err != nil {
 		return Record{}, err //nolint:wrapcheck // The caller logs it with the key.
 	}
 
-	return Record{Kind: Quarantine, Prints: record.Prints}, nil
+	return Record{Kind: Crashes, Crashes: record.Crashes}, nil
 }
 
-// crashPrint is the fingerprint of a request that this daemon found to crash upstreams.
-type crashPrint struct {
-	print quarantine.Fingerprint
+// publishedCrash is a crash that this daemon saw.
+type publishedCrash struct {
+	crash
 	// expiresAt is when it is no longer published.
 	expiresAt clock.Milli
 }
 
-// PublishQuarantined queues the fingerprint of a request that crashes upstreams; the next iteration of Run
-// publishes it to the other daemons. It is safe for concurrent use.
-func (r *Registry) PublishQuarantined(p quarantine.Fingerprint) {
+// PublishCrash queues a warning about crashes that this daemon saw, and ends a waiting watch so that Run publishes it
+// to the other daemons soon. It is safe for concurrent use.
+func (r *Registry) PublishCrash(w quarantine.Warning) {
+	r.addCrashes(w)
+	select {
+	case r.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (r *Registry) addCrashes(w quarantine.Warning) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.crashPrints = append(r.crashPrints, crashPrint{p, r.options.Now() + quarantine.Period})
-	r.crashPrints = r.crashPrints[max(0, len(r.crashPrints)-maxCrashPrints):]
+	for _, process := range w.Crashes {
+		r.crashes = append(r.crashes, publishedCrash{crash{w.Fingerprint, process}, r.options.Now() + quarantine.Period})
+	}
+	r.crashes = r.crashes[max(0, len(r.crashes)-maxCrashes):]
+}
+
+// inheritCrashes takes over the crashes that the previous run of this daemon published.
+func (r *Registry) inheritCrashes() {
+	if r.inheritedCrashes {
+		return
+	}
+	r.inheritedCrashes = true
+	for _, c := range r.entries[crashesPrefix+r.options.Self.Name].record.Crashes {
+		r.addCrashes(c.warning())
+	}
 }
 
-// activePrints drops the expired fingerprints and returns those to publish to the other daemons.
-func (r *Registry) activePrints(now clock.Milli) []quarantine.Fingerprint {
+// mergeCrashes passes on the crashes of another daemon that are not known yet.
+func (r *Registry) mergeCrashes(known, published []crash) {
+	if r.options.OnWarning == nil {
+		return
+	}
+	for _, c := range published {
+		if !slices.Contains(known, c) {
+			r.options.OnWarning(c.warning())
+		}
+	}
+}
+
+// activeCrashes drops the expired crashes and returns those to publish to the other daemons.
+func (r *Registry) activeCrashes(now clock.Milli) []crash {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.crashPrints = slices.DeleteFunc(r.crashPrints, func(f crashPrint) bool { return now >= f.expiresAt })
-	list := make([]quarantine.Fingerprint, 0, len(r.crashPrints))
-	for _, f := range r.crashPrints {
-		list = append(list, f.print)
+	r.crashes = slices.DeleteFunc(r.crashes, func(c publishedCrash) bool { return now >= c.expiresAt })
+	list := make([]crash, 0, len(r.crashes))
+	for _, c := range r.crashes {
+		list = append(list, c.crash)
 	}
 
 	return list
 }
 
-// shareQuarantine publishes the fingerprints of requests that this daemon found to crash upstreams, if
-// they changed. A failure is retried in the next iteration.
-func (r *Registry) shareQuarantine(ctx context.Context) {
+// shareCrashes publishes the crashes that this daemon saw, if they changed. A failure is retried in the next
+// iteration.
+func (r *Registry) shareCrashes(ctx context.Context) {
 	now := r.options.Now()
-	key := quarantinePrefix + r.options.Self.Name
-	stored, list := r.entries[key], r.activePrints(now)
-	if slices.Equal(stored.record.Prints, list) {
+	key := crashesPrefix + r.options.Self.Name
+	stored, list := r.entries[key], r.activeCrashes(now)
+	if slices.Equal(stored.record.Crashes, list) {
 		return
 	}
-	if err := r.writePrints(ctx, now, key, stored.revision, list); err != nil {
+	if err := r.writeCrashes(ctx, now, key, stored.revision, list); err != nil {
 		r.recordEvent(event.Event{
-			Kind: event.Quarantine, Reason: reason.Store,
-			Detail: "cannot publish fingerprints of crashing requests: " + err.Error(),
+			Kind: event.Quarantine, Reason: reason.Store, Detail: "cannot publish crashes of upstreams: " + err.Error(),
 		})
 	}
 }
 
-func (r *Registry) writePrints(
-	ctx context.Context, now clock.Milli, key string, revision int64, list []quarantine.Fingerprint,
-) error {
+// writeCrashes writes a daemon's record. Its lease removes it in case the daemon never returns.
+func (r *Registry) writeCrashes(ctx context.Context, now clock.Milli, key string, revision int64, list []crash) error {
 	if len(list) == 0 {
-		if _, err := r.options.Store.Delete(ctx, key, revision); err != nil {
-			return err //nolint:wrapcheck // It is a refusal of the store.
+		deleted, err := r.options.Store.Delete(ctx, key, revision)
+		if err == nil && deleted.Applied {
+			delete(r.entries, key)
 		}
-		delete(r.entries, key)
 
-		return nil
+		return err //nolint:wrapcheck // It is a refusal of the store.
 	}
-	text, err := json.Marshal(quarantineRecord{Prints: list})
+	text, err := json.Marshal(crashesRecord{Crashes: list})
 	if err != nil {
 		return err //nolint:wrapcheck // Numbers are always encoded.
 	}
-	_, err = r.compareAndSwap(ctx, now, key, string(text), revision)
+	lease, err := r.options.Store.Grant(ctx, quarantine.Period)
+	if err != nil {
+		return errors.Wrap(err, "registry: cannot get a lease")
+	}
+	_, err = r.compareAndSwap(ctx, now, key, string(text), revision, lease.ID)
 
 	return err
 }
--- a/io/registry/record.go
+++ b/io/registry/record.go
@@ -6,7 +6,6 @@
 
 	"jacinthferry/core/catalog"
 	"jacinthferry/core/clock"
-	"jacinthferry/core/quarantine"
 	"jacinthferry/core/rollout"
 	"jacinthferry/io/store"
 )
@@ -33,8 +32,8 @@
 	Report
 	// Results are the request counts of one daemon for a move.
 	Results
-	// Quarantine holds the fingerprints of requests that one daemon found to crash upstreams.
-	Quarantine
+	// Crashes are the crashes of upstreams that one daemon saw.
+	Crashes
 )
 
 // Record is a decoded store entry. Kind determines which of the other fields are set.
@@ -49,8 +48,7 @@
 	// Text is a report exactly as stored.
 	Text    string
 	Results results
-	// Prints are the fingerprints of requests that crash upstreams.
-	Prints []quarantine.Fingerprint
+	Crashes []crash
 }
 
 // Member is a daemon as registered in the store.
@@ -91,8 +89,8 @@
 	if strings.HasPrefix(e.Key, resultsPrefix) {
 		return decodeResults(e)
 	}
-	if strings.HasPrefix(e.Key, quarantinePrefix) {
-		return decodeQuarantine(e)
+	if strings.HasPrefix(e.Key, crashesPrefix) {
+		return decodeCrashes(e)
 	}
 	name, ok := strings.CutPrefix(e.Key, memberPrefix)
 	if !ok {
--- a/io/registry/registry.go
+++ b/io/registry/registry.go
@@ -48,9 +48,8 @@
 	Counts func(service string, m catalog.Rollout) map[string]rollout.Counts
 	// EncodeReport returns the key and value of the operators' report on a move.
 	EncodeReport func(service string, m catalog.Rollout) (key, text string, err error)
-	// OnQuarantine is called with the fingerprint of a request that another daemon found to crash upstreams. It may
-	// be nil.
-	OnQuarantine func(quarantine.Fingerprint)
+	// OnWarning is called with each crash of an upstream that another daemon saw. It may be nil.
+	OnWarning func(quarantine.Warning)
 	// Self describes this daemon.
 	Self Member
 }
@@ -103,9 +102,12 @@
 	resultsSent map[string]clock.Milli
 	// inherited holds the counts of this daemon's previous run, by service.
 	inherited map[string]results
-	// mu guards crashPrints, the requests that this daemon found to crash upstreams, oldest first.
-	mu          sync.Mutex
-	crashPrints []crashPrint
+	// mu guards crashes, the crashes of upstreams that this daemon saw, oldest first.
+	mu      sync.Mutex
+	crashes []publishedCrash
+	// wake ends a waiting watch, and inheritedCrashes is set once the previous run's crashes are taken over.
+	wake             chan struct{}
+	inheritedCrashes bool
 	// daemonCounts are the samples of the number of active daemons, oldest first.
 	daemonCounts []daemonCount
 }
@@ -121,6 +123,7 @@
 	return &Registry{
 		options: options, entries: make(map[string]storedRecord), analyzer: rollout.NewAnalyzer(),
 		resultsSent: make(map[string]clock.Milli), inherited: make(map[string]results), started: options.Now(),
+		wake: make(chan struct{}, 1),
 	}
 }
 
@@ -171,7 +174,7 @@
 	r.handleRecovery()
 	if !r.inactive() {
 		r.advanceMoves(ctx)
-		r.shareQuarantine(ctx)
+		r.shareCrashes(ctx)
 	}
 	switch {
 	case r.inactive():
@@ -196,9 +199,9 @@
 	if !r.loaded {
 		return r.load(ctx)
 	}
-	changes, revision, err := r.options.Store.Watch(ctx, "", r.watchRevision, r.watchTimeout())
+	changes, revision, err := r.watch(ctx)
 	if err != nil {
-		return err //nolint:wrapcheck // It is a refusal of the store.
+		return err
 	}
 	now := r.options.Now()
 	changed := r.expire(now) || r.standby || r.startupEnded(now)
@@ -214,6 +217,25 @@
 	return nil
 }
 
+// watch waits for changes. It ends early and returns none when this daemon has something to publish.
+func (r *Registry) watch(ctx context.Context) ([]store.Entry, int64, error) {
+	watchCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go func() {
+		select {
+		case <-r.wake:
+			cancel()
+		case <-watchCtx.Done():
+		}
+	}()
+	changes, revision, err := r.options.Store.Watch(watchCtx, "", r.watchRevision, r.watchTimeout())
+	if err != nil && watchCtx.Err() != nil && ctx.Err() == nil {
+		return nil, r.watchRevision, nil
+	}
+
+	return changes, revision, err //nolint:wrapcheck // It is a refusal of the store.
+}
+
 // watchTimeout returns how long a watch may wait: at most until the next deleted entry expires, and less
 // while a version move is in progress.
 func (r *Registry) watchTimeout() clock.Milli {
@@ -259,6 +281,7 @@
 		}
 	}
 	r.inheritResults()
+	r.inheritCrashes()
 	r.watchRevision, r.loaded = revision, true
 	r.lastContact.Store(int64(now))
 	r.publish(now)
--- a/io/registry/results.go
+++ b/io/registry/results.go
@@ -128,7 +128,7 @@
 		return err
 	}
 	r.resultsSent[service] = now
-	_, err = r.compareAndSwap(ctx, now, key, text, stored.revision)
+	_, err = r.compareAndSwap(ctx, now, key, text, stored.revision, "")
 
 	return err
 }
