Tell crashing requests apart by what the caller sent, not by the service

What callers saw: a request in quarantine at one service was sent to the other service of its route, and crashed its upstreams as well. Cause: the fingerprint contained the service that the route named at that moment; operators move and split routes. Class: a decision about a request, keyed by something that changes while the request stays the same. Now the fingerprint holds what the caller sent, and the shard only where a route has several. Looked for elsewhere: the retry budget is kept by service because the limit is; latencies are kept by route; versions on trial by service. The lookup of a route's services has no user any more and is gone.

--- a/core/catalog/config.go
+++ b/core/catalog/config.go
@@ -41,22 +41,6 @@
 // Gathers reports whether a request goes to every shard and the answers are merged.
 func (r *Route) Gathers() bool { return len(r.Shards) > 0 }
 
-// Services returns the services that requests of the route may be sent to.
-func (r *Route) Services() []string {
-	switch {
-	case r.Gathers():
-		return r.Shards
-	case len(r.Split) == 0:
-		return []string{r.Service}
-	}
-	list := make([]string, 0, len(r.Split))
-	for _, s := range r.Split {
-		list = append(list, s.Service)
-	}
-
-	return list
-}
-
 // Service is the configuration of the upstreams of one service.
 type Service struct {
 	Name string
--- a/io/gateway/crash.go
+++ b/io/gateway/crash.go
@@ -12,32 +12,34 @@
 	"jacinthferry/core/reason"
 )
 
-// fingerprint returns the fingerprint of a call to a service. It is the same whenever a caller repeats the call.
-func fingerprint(call *Call, service string) quarantine.Fingerprint {
-	return quarantine.FingerprintOf(service, call.Method, " ", call.Host, call.Target, "\n", string(call.Body))
+// fingerprint returns the fingerprint of a call, or of its part for one shard. It is the same whenever a caller repeats
+// the call, and whichever service its route names then; shard is "" unless the route gathers.
+func fingerprint(call *Call, shard string) quarantine.Fingerprint {
+	return quarantine.FingerprintOf(shard, call.Method, " ", call.Host, call.Target, "\n", string(call.Body))
 }
 
-// quarantinedService returns the service of a route whose upstreams the call crashes, so that it must not be
-// sent there, or "" if there is none.
-func (g *Gateway) quarantinedService(call *Call, route *catalog.Route) string {
+// quarantined reports whether a call, or its part for a shard of the route, is in quarantine.
+func (g *Gateway) quarantined(call *Call, route *catalog.Route) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.crashes.Empty() {
-		return ""
+		return false
 	}
 	now := g.options.Now()
-	for _, service := range route.Services() {
-		if g.crashes.Quarantined(now, fingerprint(call, service)) {
-			return service
+	if !route.Gathers() {
+		return g.crashes.Quarantined(now, fingerprint(call, ""))
+	}
+	for _, shard := range route.Shards {
+		if g.crashes.Quarantined(now, fingerprint(call, shard)) {
+			return true
 		}
 	}
 
-	return ""
+	return false
 }
 
 // recordAnswered records that an upstream has answered a call, which shows that the call does not crash upstreams.
-func (g *Gateway) recordAnswered(call *Call, service string) {
-	p := fingerprint(call, service)
+func (g *Gateway) recordAnswered(call *Call, service string, p quarantine.Fingerprint) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.crashes.RecordSuccess(g.options.Now(), p) {
@@ -66,11 +68,10 @@
 
 // checkCrash checks whether an upstream whose connection broke while it ran a call still accepts connections.
 // If it does, the new connection goes to the pool; if not, the call is recorded as a suspect for the crash.
-func (g *Gateway) checkCrash(call *Call, u *catalog.Upstream, v quarantine.Attempt) {
+func (g *Gateway) checkCrash(call *Call, p quarantine.Fingerprint, u *catalog.Upstream, v quarantine.Attempt) {
 	g.mu.Lock()
 	due := g.crashes.ShouldProbe(g.options.Now(), u.Key())
 	g.mu.Unlock()
-	p := fingerprint(call, u.Service)
 	if !due {
 		g.recordUnattributed(call, u, p, "another request probed the upstream")
 
--- a/io/gateway/crash_test.go
+++ b/io/gateway/crash_test.go
@@ -154,7 +154,7 @@
 		setUpGateway(catalog.Route{Service: "a"})
 		for process := range uint64(2) {
 			g.MergeWarning(quarantine.Warning{
-				Fingerprint: quarantine.FingerprintOf("a", "GET h/poison/1\n"), Crashes: []uint64{process}, Remaining: clock.Second,
+				Fingerprint: quarantine.FingerprintOf("", "GET h/poison/1\n"), Crashes: []uint64{process}, Remaining: clock.Second,
 			})
 		}
 		Expect(send(ctx, "/poison/1").Refusal.Reason).To(Equal(reason.Quarantine))
@@ -174,7 +174,7 @@
 			}
 		}
 		// Two crashes, the verdict and a refusal.
-		Expect(prints).To(Equal(map[string]int{quarantine.FingerprintOf("a", "GET h/poison/1\n").String(): 4}))
+		Expect(prints).To(Equal(map[string]int{quarantine.FingerprintOf("", "GET h/poison/1\n").String(): 4}))
 	})
 
 	It("stays refused after its route moved to another service", func(ctx SpecContext) {
@@ -215,7 +215,7 @@
 		setView(catalog.Route{Service: "a"}, first.upstream)
 		send(ctx, "/poison/1")
 		Eventually(warnings.list).Should(HaveLen(1))
-		p := quarantine.FingerprintOf("a", "GET h/poison/1\n")
+		p := quarantine.FingerprintOf("", "GET h/poison/1\n")
 		Expect(warnings.list()[0].Fingerprint).To(Equal(p))
 		g.MergeWarning(quarantine.Warning{Fingerprint: p, Crashes: []uint64{1}, Remaining: clock.Minute})
 		Expect(send(ctx, "/poison/1").Refusal.Reason).To(Equal(reason.Quarantine))
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -116,8 +116,8 @@
 	if call.Timeout <= 0 {
 		call.Timeout = route.Timeout
 	}
-	if service := g.quarantinedService(call, route); service != "" {
-		return g.refuseQuarantined(call, route, service)
+	if g.quarantined(call, route) {
+		return g.refuseQuarantined(call, route)
 	}
 	p := &pendingRequest{
 		sender: &sender{gateway: g, call: call, top: route.Top}, route: route, config: view.Config, done: make(chan struct{}),
@@ -156,12 +156,12 @@
 	}
 }
 
-// refuseQuarantined refuses a call that is in quarantine because it crashes upstreams of a service.
-func (g *Gateway) refuseQuarantined(call *Call, route *catalog.Route, service string) Response {
+// refuseQuarantined refuses a call that is in quarantine because it crashes upstreams.
+func (g *Gateway) refuseQuarantined(call *Call, route *catalog.Route) Response {
 	g.options.Record(event.Event{
 		Kind: event.Refusal, Reason: reason.Quarantine, Service: route.Name, Request: call.ID,
-		Print:  fingerprint(call, service).String(),
-		Detail: "upstreams of " + service + " crashed while running the request, run no",
+		Print:  fingerprint(call, "").String(),
+		Detail: "upstreams crashed while running the request, run no",
 	})
 
 	return Response{Refusal: reason.NewRefusal(reason.Quarantine, reason.NotExecuted, ""), RetryAfter: quarantine.Period}
--- a/io/gateway/sender.go
+++ b/io/gateway/sender.go
@@ -63,12 +63,21 @@
 	}
 	result := s.handleResponse(u, reply)
 	if result.OK {
-		g.recordAnswered(s.call, u.Service)
+		g.recordAnswered(s.call, u.Service, s.fingerprint(u.Service))
 	}
 
 	return reply, result
 }
 
+// fingerprint returns the fingerprint of what is sent to a service: the call, or its part for that shard.
+func (s *sender) fingerprint(service string) quarantine.Fingerprint {
+	if s.top == 0 {
+		service = ""
+	}
+
+	return fingerprint(s.call, service)
+}
+
 // bodyLimit returns how many bytes the body of a response may have.
 func (s *sender) bodyLimit() int {
 	if s.top > 0 {
@@ -145,7 +154,8 @@
 		Detail: err.Error(),
 	})
 	if sent && word == reason.Failed && !isTimeout(err) {
-		go s.gateway.checkCrash(s.call, u, quarantine.Attempt{Sent: sentAt, Broken: s.gateway.options.Now()})
+		attempt := quarantine.Attempt{Sent: sentAt, Broken: s.gateway.options.Now()}
+		go s.gateway.checkCrash(s.call, s.fingerprint(u.Service), u, attempt)
 	}
 
 	return gather.Result{Run: run, Reason: word, Sent: sent}
