Attribute a crash to all requests that ran on the upstream

What callers saw: a request that crashes upstreams was not found while others ran beside it. Cause: of the requests whose connections an upstream broke within 200 ms, one probed the upstream, and the crash was attributed to that one alone, whichever came first; with ten requests beside the cause, the cause is missed nine times of ten. Class: a result that several wait for, given to the first one only. Now all of them share one probe and its result. Probes of one upstream stay 200 ms apart. One whose connection broke after a probe had found the upstream alive waits for the next probe.

--- a/core/quarantine/crashes.go
+++ b/core/quarantine/crashes.go
@@ -68,15 +68,15 @@
 	}
 }
 
-// ShouldProbe reports whether to probe now whether an upstream that broke a connection still runs, and records
-// the probe if so.
-func (c *CrashDetector) ShouldProbe(now clock.Milli, upstream catalog.Key) bool {
-	if at, known := c.lastProbe[upstream]; known && now-at < probeInterval {
-		return false
+// NextProbe returns when to probe whether an upstream that broke a connection still runs, and records that probe.
+func (c *CrashDetector) NextProbe(now clock.Milli, upstream catalog.Key) clock.Milli {
+	at := now
+	if last, known := c.lastProbe[upstream]; known {
+		at = max(now, last+probeInterval)
 	}
-	c.lastProbe[upstream] = now
+	c.lastProbe[upstream] = at
 
-	return true
+	return at
 }
 
 // RecordCrash attributes a crash of an upstream to a request that ran there, and returns what that changes and, if
--- a/core/quarantine/crashes_test.go
+++ b/core/quarantine/crashes_test.go
@@ -94,10 +94,10 @@
 	})
 
 	It("is looked for at most once per interval at each upstream, and expires", func() {
-		Expect(c.ShouldProbe(now, one)).To(BeTrue())
-		Expect(c.ShouldProbe(now+100, one)).To(BeFalse())
-		Expect(c.ShouldProbe(now+100, two)).To(BeTrue())
-		Expect(c.ShouldProbe(now+200, one)).To(BeTrue())
+		Expect(c.NextProbe(now, one)).To(Equal(now))
+		Expect(c.NextProbe(now+100, one)).To(Equal(now + 200))
+		Expect(c.NextProbe(now+100, two)).To(Equal(now + 100))
+		Expect(c.NextProbe(now+200, one)).To(Equal(now + 400))
 		c.RecordCrash(now+10, quarantine.Attempt{Sent: now, Broken: now + 5}, p, one)
 		c.Prune(now + 2*clock.Minute)
 		Expect(record(now+2*clock.Minute, quarantine.Attempt{Sent: now, Broken: now + 5}, two)).To(Equal(quarantine.Suspected))
--- a/io/gateway/crash.go
+++ b/io/gateway/crash.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -66,26 +67,15 @@
 	}
 }
 
-// checkCrash checks whether an upstream whose connection broke while it ran a call still accepts connections.
-// If it does, the new connection goes to the pool; if not, the call is recorded as a suspect for the crash.
+// checkCrash attributes a crash to a call whose connection broke while an upstream ran it, if the upstream no longer
+// accepts connections.
 func (g *Gateway) checkCrash(call *Call, p quarantine.Fingerprint, u *catalog.Upstream, v quarantine.Attempt) {
-	g.mu.Lock()
-	due := g.crashes.ShouldProbe(g.options.Now(), u.Key())
-	g.mu.Unlock()
-	if !due {
-		g.recordUnattributed(call, u, p, "another request probed the upstream")
-
-		return
-	}
-	c, err := g.pool.dial(context.Background(), g.options.Now(), u)
-	if err == nil {
-		g.pool.put(u.Key(), c)
-
-		return
-	}
-	if isTimeout(err) {
+	probe := g.probeUpstream(u)
+	<-probe.done
+	if probe.result == upstreamSilent {
 		g.recordUnattributed(call, u, p, "the probe timed out")
-
+	}
+	if probe.result != upstreamCrashed {
 		return
 	}
 	g.mu.Lock()
@@ -104,6 +94,75 @@
 	}
 }
 
+// probeResult says what a new connection showed of an upstream that broke another one.
+type probeResult int
+
+const (
+	upstreamAccepts probeResult = iota
+	upstreamCrashed
+	upstreamSilent
+)
+
+// crashProbe is a probe of an upstream that broke connections. All requests that it broke share it.
+type crashProbe struct {
+	// done is closed once result is set.
+	done   chan struct{}
+	result probeResult
+}
+
+func (p *crashProbe) finished() bool {
+	select {
+	case <-p.done:
+		return true
+	default:
+		return false
+	}
+}
+
+// probeUpstream returns a probe of an upstream that has just broken a connection: the one that is going on or has shown
+// a crash, or else a new one, which starts once the last one is long enough ago.
+func (g *Gateway) probeUpstream(u *catalog.Upstream) *crashProbe {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if p := g.probes[u.Key()]; p != nil && (!p.finished() || p.result == upstreamCrashed) {
+		return p
+	}
+	p := &crashProbe{done: make(chan struct{})}
+	g.probes[u.Key()] = p
+	now := g.options.Now()
+	delay := g.crashes.NextProbe(now, u.Key()) - now
+	time.AfterFunc(delay.Duration(), func() {
+		p.result = g.probeNow(u)
+		close(p.done)
+	})
+
+	return p
+}
+
+// probeNow opens a connection to an upstream. One that is accepted goes to the pool.
+func (g *Gateway) probeNow(u *catalog.Upstream) probeResult {
+	c, err := g.pool.dial(context.Background(), g.options.Now(), u)
+	switch {
+	case err == nil:
+		g.pool.put(u.Key(), c)
+
+		return upstreamAccepts
+	case isTimeout(err):
+		return upstreamSilent
+	default:
+		return upstreamCrashed
+	}
+}
+
+// pruneProbes forgets the finished probes. The gateway's lock is held.
+func (g *Gateway) pruneProbes() {
+	for key, p := range g.probes {
+		if p.finished() {
+			delete(g.probes, key)
+		}
+	}
+}
+
 // recordCrashed records that the upstream of an event crashed while it ran the request.
 func (g *Gateway) recordCrashed(e event.Event) {
 	e.Kind, e.Reason, e.Detail = event.Upstream, reason.Connection, "crashed while running the request"
--- a/io/gateway/crash_test.go
+++ b/io/gateway/crash_test.go
@@ -25,16 +25,20 @@
 )
 
 // crashingServer is an upstream that crashes when it runs a request for a path below /poison, breaks the
-// connection of one below /break, and does not respond to one below /long.
+// connection of one below /break, or below /gate once that is open, and does not respond to one below /long.
 type crashingServer struct {
 	upstream *catalog.Upstream
 	address  string
 	server   atomic.Pointer[http.Server]
 	runs     atomic.Int64
+	// accepted is the number of connections.
+	accepted atomic.Int64
+	// gate holds the requests below /gate back until it is closed.
+	gate chan struct{}
 }
 
 func newCrashingServer(id, service string) *crashingServer {
-	s := &crashingServer{address: "127.0.0.1:0"}
+	s := &crashingServer{address: "127.0.0.1:0", gate: make(chan struct{})}
 	s.start()
 	s.upstream = &catalog.Upstream{ID: id, Service: service, Address: s.address, Slots: 2}
 	DeferCleanup(s.stop)
@@ -46,7 +50,14 @@
 	listener, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", s.address)
 	Expect(err).NotTo(HaveOccurred())
 	s.address = listener.Addr().String()
-	server := &http.Server{Handler: http.HandlerFunc(s.serve), ReadHeaderTimeout: time.Minute}
+	server := &http.Server{
+		Handler: http.HandlerFunc(s.serve), ReadHeaderTimeout: time.Minute,
+		ConnState: func(_ net.Conn, state http.ConnState) {
+			if state == http.StateNew {
+				s.accepted.Add(1)
+			}
+		},
+	}
 	s.server.Store(server)
 	go func() { _ = server.Serve(listener) }()
 }
@@ -59,6 +70,9 @@
 	case strings.HasPrefix(r.URL.Path, "/poison"):
 		s.stop()
 		panic(http.ErrAbortHandler)
+	case strings.HasPrefix(r.URL.Path, "/gate"):
+		<-s.gate
+		panic(http.ErrAbortHandler)
 	case strings.HasPrefix(r.URL.Path, "/break"):
 		panic(http.ErrAbortHandler)
 	case strings.HasPrefix(r.URL.Path, "/long"):
@@ -202,6 +216,7 @@
 			send(ctx, "/poison/1")
 			open.Wait()
 		}
+		Eventually(quarantines).Should(Equal(1))
 		first.start()
 		setView(catalog.Route{Service: "a"}, first.upstream)
 		before := first.runs.Load()
@@ -230,6 +245,22 @@
 		Consistently(warnings.list, "300ms").Should(BeEmpty())
 	})
 
+	It("shares one probe of the upstream with the other requests whose connections it broke", func(ctx SpecContext) {
+		first, second = newCrashingServer("u1", "a"), newCrashingServer("u2", "a")
+		setUpGateway(catalog.Route{Service: "a"})
+		setView(catalog.Route{Service: "a"}, first.upstream)
+		const together = 20
+		var open sync.WaitGroup
+		for n := range together {
+			open.Go(func() { send(ctx, fmt.Sprintf("/gate/%d", n)) })
+		}
+		Eventually(first.runs.Load).Should(BeEquivalentTo(together))
+		close(first.gate)
+		open.Wait()
+		// Connections that break after the first probe share a second one.
+		Consistently(first.accepted.Load, "1s").Should(BeNumerically("<=", together+2))
+	})
+
 	It("is not refused when its upstreams crashed at the same time", func(ctx SpecContext) {
 		first, second = newCrashingServer("u1", "a"), newCrashingServer("u2", "b")
 		setUpGateway(catalog.Route{Shards: []string{"a", "b"}, MinCoverage: 1, Top: 1})
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -57,6 +57,8 @@
 	balancer    *balance.Balancer
 	coordinator *gather.Coordinator
 	crashes     *quarantine.CrashDetector
+	// probes are the probes of upstreams that broke connections.
+	probes map[catalog.Key]*crashProbe
 }
 
 // New returns a Gateway. Its Run method removes expired state.
@@ -67,6 +69,7 @@
 
 	return &Gateway{
 		options: options, pool: newPool(memory), memory: memory, balancer: balancer, crashes: quarantine.NewCrashDetector(),
+		probes:      make(map[catalog.Key]*crashProbe),
 		coordinator: gather.New(options.Policy, balancer, options.DaemonCount, rand.Float64),
 	}
 }
@@ -100,6 +103,7 @@
 	defer g.mu.Unlock()
 	g.coordinator.Prune(now, view)
 	g.crashes.Prune(now)
+	g.pruneProbes()
 }
 
 // Serve returns the response to a call, which must be released after use. It has neither an answer nor a refusal
