Keep requests that crash upstreams in quarantine for ten minutes

Cause: a quarantine, and the crashes behind it, ended after a minute. A caller that goes on sending the request crashed two upstreams a minute; the spec counts 20 in ten minutes on the old code, 2 now. The other one of ten minutes is the time of an innocent request that ran on two upstreams when they ended, and was not answered in between: its caller is refused that long. Nobody else sends that request, or it would have been answered.

--- a/core/quarantine/crashes.go
+++ b/core/quarantine/crashes.go
@@ -10,12 +10,11 @@
 )
 
 const (
-	// Period is how long a request that crashes upstreams is refused.
-	Period = clock.Minute
-	// crashLimit is the number of crashes of one service's upstreams, one after the other, that put a
-	// request into quarantine, and crashWindow how long a crash counts.
-	crashLimit  = 2
-	crashWindow = clock.Minute
+	// Period is how long a request that crashes upstreams is refused, and how long a crash counts. Each period costs
+	// crashLimit upstreams while a caller goes on sending the request.
+	Period = 10 * clock.Minute
+	// crashLimit is the number of crashes, one after the other, that put a request into quarantine.
+	crashLimit = 2
 	// quarantineLimit is the largest number of requests in quarantine at once.
 	quarantineLimit = 64
 	// probeInterval is the time between two probes of an upstream that broke a connection.
@@ -62,7 +61,7 @@
 // NewCrashDetector returns a detector that knows of no crash.
 func NewCrashDetector() *CrashDetector {
 	return &CrashDetector{
-		tracker:   NewTracker(Config{Crashes: crashLimit, Window: crashWindow, Hold: Period, Limit: quarantineLimit}),
+		tracker:   NewTracker(Config{Crashes: crashLimit, Window: Period, Hold: Period, Limit: quarantineLimit}),
 		lastCrash: make(map[Fingerprint]Attempt), answered: make(map[Fingerprint]struct{}),
 		lastProbe: make(map[catalog.Key]clock.Milli),
 	}
@@ -88,7 +87,7 @@
 	}
 	c.lastCrash[p] = v
 	crash := xxhash.Sum64String(upstream.ID + " " + strconv.FormatInt(upstream.StartUnixMilli, 10))
-	w := Warning{Fingerprint: p, Crashes: []uint64{crash}, Remaining: crashWindow}
+	w := Warning{Fingerprint: p, Crashes: []uint64{crash}, Remaining: Period}
 
 	return w, c.Merge(now, w)
 }
@@ -159,7 +158,7 @@
 func (c *CrashDetector) Prune(now clock.Milli) {
 	c.tracker.Prune(now)
 	for p, v := range c.lastCrash {
-		if now-v.Broken > crashWindow {
+		if now-v.Broken > Period {
 			delete(c.lastCrash, p)
 		}
 	}
--- a/core/quarantine/crashes_test.go
+++ b/core/quarantine/crashes_test.go
@@ -1,6 +1,8 @@
 package quarantine_test
 
 import (
+	"strconv"
+
 	"jacinthferry/core/catalog"
 	"jacinthferry/core/clock"
 	"jacinthferry/core/quarantine"
@@ -50,9 +52,9 @@
 
 	It("is forgotten after its time without another request", func() {
 		c.RecordCrash(now, quarantine.Attempt{Sent: now, Broken: now + 5}, p, one)
-		c.Prune(now + 59*clock.Second)
+		c.Prune(now + quarantine.Period - clock.Second)
 		Expect(c.Empty()).To(BeFalse())
-		c.Prune(now + 61*clock.Second)
+		c.Prune(now + quarantine.Period + clock.Second)
 		Expect(c.Empty()).To(BeTrue())
 	})
 
@@ -85,6 +87,18 @@
 		Expect(record(later, quarantine.Attempt{Sent: later - 5, Broken: later}, one)).To(Equal(quarantine.Suspected))
 	})
 
+	It("keeps a request that is sent again and again from crashing more than two upstreams in ten minutes", func() {
+		crashes := 0
+		for at := now; at < now+10*clock.Minute; at += clock.Second {
+			if c.Prune(at); c.Quarantined(at, p) {
+				continue
+			}
+			crashes++
+			record(at, quarantine.Attempt{Sent: at - 5, Broken: at}, catalog.Key{ID: strconv.Itoa(crashes)})
+		}
+		Expect(crashes).To(Equal(2))
+	})
+
 	It("is remembered with a limited number of answered requests", func() {
 		for n := range 100_000 {
 			c.RecordSuccess(now, quarantine.Fingerprint(n))
@@ -99,7 +113,7 @@
 		Expect(c.NextProbe(now+100, two)).To(Equal(now + 100))
 		Expect(c.NextProbe(now+200, one)).To(Equal(now + 400))
 		c.RecordCrash(now+10, quarantine.Attempt{Sent: now, Broken: now + 5}, p, one)
-		c.Prune(now + 2*clock.Minute)
-		Expect(record(now+2*clock.Minute, quarantine.Attempt{Sent: now, Broken: now + 5}, two)).To(Equal(quarantine.Suspected))
+		c.Prune(now + 2*quarantine.Period)
+		Expect(record(now+2*quarantine.Period, quarantine.Attempt{Sent: now, Broken: now + 5}, two)).To(Equal(quarantine.Suspected))
 	})
 })
