Read the rate limits that upstreams name, and log them

Answers may name `Server-Limit`, the requests a second that an upstream takes from all daemons together. It is decoded once, passed on with relayed results, and kept per upstream: it holds until the answer to a later request names another one or none. A change is an event, reason `limit`. No decision depends on it yet.

--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -71,6 +71,11 @@
 	refilled  clock.Milli
 	// blockedUntil is until when the upstream gets no request.
 	blockedUntil clock.Milli
+	// limit is the rate limit that the upstream named, if limited is set, and limitSent when the request was sent
+	// whose answer told so.
+	limited   bool
+	limit     RateLimit
+	limitSent clock.Milli
 }
 
 // Options are the settings by which one daemon chooses upstreams.
@@ -82,6 +87,9 @@
 	Daemons func() int
 	// Uniform returns a random number from 0 to 1. If it is nil, rand.Float64 is used.
 	Uniform func() float64
+	// OnLimit is called when an upstream names another rate limit, or no longer names one, which is nil. It may be
+	// nil.
+	OnLimit func(u *catalog.Upstream, limit *RateLimit)
 }
 
 // Balancer chooses upstreams by what one daemon has observed of them. It is not safe for concurrent use.
--- a/core/gather/coordinator.go
+++ b/core/gather/coordinator.go
@@ -252,6 +252,8 @@
 	Sent bool
 	// Load is the load that the upstream reported, or nil.
 	Load *balance.Load
+	// Limit is the rate limit that the upstream named, or nil.
+	Limit *balance.RateLimit
 	// MergeDelay is how long another daemon held the answer back to merge it with others.
 	MergeDelay clock.Milli
 }
--- a/core/gather/query.go
+++ b/core/gather/query.go
@@ -220,6 +220,9 @@
 	default:
 		balancer.Failed(now, sent, u)
 	}
+	if result.OK || result.Limit != nil {
+		balancer.HandleLimit(now, sent, u, result.Limit)
+	}
 }
 
 // countForRollout counts the result of a leg that an upstream may have run, if its service moves to
--- a/core/reason/reason.go
+++ b/core/reason/reason.go
@@ -15,6 +15,8 @@
 	Deadline Code = "deadline"
 	// Overload says that a queue or limit is full.
 	Overload Code = "overload"
+	// Limit says that the upstream's rate limit leaves no room.
+	Limit Code = "limit"
 	// Cold says that the upstream is warming up and takes no more work for now.
 	Cold Code = "cold"
 	// Replica says that no live upstream holds the shard.
--- a/io/gateway/call.go
+++ b/io/gateway/call.go
@@ -69,6 +69,8 @@
 	ImpliesNotRun bool
 	// Load is the load that the upstream reported, or nil.
 	Load *balance.Load
+	// Limit is the rate limit that the upstream named, or nil.
+	Limit *balance.RateLimit
 	// Warmup is how much longer the upstream needs to warm up.
 	Warmup clock.Milli
 	// held is how many bytes of the memory for responses the body holds.
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -63,7 +64,10 @@
 
 // New returns a Gateway. Its Run method removes expired state.
 func New(options Options) *Gateway {
-	balancer := balance.New(balance.Options{Zone: options.Zone, Daemons: options.DaemonCount, Uniform: rand.Float64})
+	balancer := balance.New(balance.Options{
+		Zone: options.Zone, Daemons: options.DaemonCount, Uniform: rand.Float64,
+		OnLimit: func(u *catalog.Upstream, limit *balance.RateLimit) { options.Record(limitEvent(u, limit)) },
+	})
 
 	memory := newResponseMemory(options.ResponseMemory)
 
@@ -74,6 +78,18 @@
 	}
 }
 
+// limitEvent returns the event of an upstream that names another rate limit, or none any more if limit is nil.
+func limitEvent(u *catalog.Upstream, limit *balance.RateLimit) event.Event {
+	e := event.Event{
+		Kind: event.Upstream, Reason: reason.Limit, Service: u.Service, Upstream: u.ID, Detail: "no rate limit any more",
+	}
+	if limit != nil {
+		e.Detail = fmt.Sprintf("rate limit of %g requests a second for all daemons", *limit)
+	}
+
+	return e
+}
+
 // SetPolicy replaces the policy. The new one applies from now on, also to requests that are running.
 func (g *Gateway) SetPolicy(p gather.Policy) {
 	g.mu.Lock()
--- a/io/relay/relay_test.go
+++ b/io/relay/relay_test.go
@@ -123,8 +123,10 @@
 		Expect(relayed.legs[0].Number).To(Equal(3))
 		Expect(relayed.legs[0].Upstream).To(Equal(*newGroup(clock.Second).Legs[0].Upstream))
 		Expect(relayed.legs[0].Timeout).To(BeNumerically("~", clock.Second, 200))
+		limit := balance.RateLimit(16.5)
 		succeeded := gateway.RelayResult{Number: 3, Stamp: "s", Warmup: 40, Result: gather.Result{
 			OK: true, Sent: true, Run: reason.Executed, MergeDelay: 6, Load: &balance.Load{Running: 1, Waiting: 2, Slots: 3},
+			Limit: &limit,
 		}}
 		failed := gateway.RelayResult{Number: 4, Result: gather.Result{Run: reason.NotExecuted, Reason: reason.Overload, Sent: true}}
 		relayed.send(gateway.RelayResponse{Results: []gateway.RelayResult{failed}})
--- a/io/relay/wire.go
+++ b/io/relay/wire.go
@@ -66,7 +66,9 @@
 type response struct {
 	ID      uint64      `cbor:"id"`
 	Results []legResult `cbor:"parts"`
-	Body    []byte      `cbor:"body,omitempty"`
+	// Limits are the rate limits that upstreams named, by the number of the leg.
+	Limits map[int]float64 `cbor:"limits,omitempty"`
+	Body   []byte          `cbor:"body,omitempty"`
 }
 
 // legResult is encoded as an array to save space, as a response has many.
@@ -134,6 +136,12 @@
 		if r.Load != nil {
 			l.Load = []int{r.Load.Running, r.Load.Waiting, r.Load.Slots}
 		}
+		if r.Limit != nil {
+			if out.Limits == nil {
+				out.Limits = make(map[int]float64)
+			}
+			out.Limits[p.Number] = float64(*r.Limit)
+		}
 		out.Results = append(out.Results, l)
 	}
 
@@ -153,6 +161,10 @@
 		if len(l.Load) == loadFields {
 			p.Result.Load = &balance.Load{Running: l.Load[0], Waiting: l.Load[1], Slots: l.Load[2]}
 		}
+		if limit, named := r.Limits[l.Number]; named {
+			rate := balance.RateLimit(limit)
+			p.Result.Limit = &rate
+		}
 		out.Results = append(out.Results, p)
 	}
 
--- a/io/rpc/refusal.go
+++ b/io/rpc/refusal.go
@@ -132,7 +132,7 @@
 		return connect.CodeInvalidArgument
 	case reason.Deadline:
 		return connect.CodeDeadlineExceeded
-	case reason.Overload, reason.Size, reason.Budget:
+	case reason.Overload, reason.Limit, reason.Size, reason.Budget:
 		return connect.CodeResourceExhausted
 	case reason.Conflict:
 		return connect.CodeAborted
