--- a/core/gather/simulation_test.go
+++ b/core/gather/simulation_test.go
@@ -60,6 +60,11 @@
 	// minInTime is the least share of queries that are answered within the objective, and minCoverage the
 	// least share of the shards that their answers cover on average.
 	minInTime, minCoverage float64
+	// limited is the share of servers that name the rate limits of rates, and restarts how often a daemon is replaced
+	// by one that knows nothing.
+	limited  float64
+	rates    rateLimits
+	restarts clock.Milli
 }
 
 // task is a request that waits for a slot.
@@ -76,6 +81,10 @@
 	dead, silent bool
 	lossy        bool
 	pausedUntil  clock.Milli
+	// rates are the rate limits that the server names, by time.
+	rates rateLimits
+	// arrivals are when requests reached the server.
+	arrivals []clock.Milli
 }
 
 const (
@@ -102,8 +111,10 @@
 	events       eventQueue
 	random       *rand.Rand
 	coordinators []*gather.Coordinator
-	view         *catalog.View
-	route        *catalog.Route
+	// startedAt is when each daemon started.
+	startedAt []clock.Milli
+	view      *catalog.View
+	route     *catalog.Route
 	// lowPriorityRoute is the route of the low-priority queries.
 	lowPriorityRoute *catalog.Route
 	servers          map[string]*server
@@ -138,17 +149,21 @@
 	low := *d.route
 	low.Name, low.Priority, low.Timeout, low.Objective, low.MinCoverage = "quick", d.route.Priority+1, 300, 60, 0.75
 	m.lowPriorityRoute = &low
-	for range daemonCount {
-		daemons := func() int { return daemonCount }
-		balancer := balance.New(balance.Options{Zone: "zone0", Daemons: daemons, Uniform: m.random.Float64})
-		m.coordinators = append(m.coordinators, gather.New(policy, balancer, daemons, m.random.Float64))
+	m.coordinators, m.startedAt = make([]*gather.Coordinator, daemonCount), make([]clock.Milli, daemonCount)
+	for i := range m.coordinators {
+		m.startDaemon(i)
+		m.startedAt[i] = 0
 	}
+	m.scheduleRestarts(0)
 	for i := range shardCount {
 		for r := range 2 {
 			s := &server{
 				slots: serverSlots, limit: 14, slowdown: 1, dead: m.random.Float64() < sc.dead,
 				silent: m.random.Float64() < sc.silent,
 			}
+			if sc.limited > 0 && m.random.Float64() < sc.limited {
+				s.rates = sc.rates
+			}
 			s.lossy = sc.lost > 0 && m.random.Float64() < 0.5
 			if i < sc.slowShards || m.random.Float64() < sc.slow {
 				s.slowdown = sc.slowdown
@@ -161,6 +176,32 @@
 	return m
 }
 
+// startDaemon replaces a daemon by one that knows nothing.
+func (m *simulation) startDaemon(i int) {
+	m.startedAt[i] = m.now
+	daemons := func() int {
+		// A daemon that has just started does not know the others yet.
+		if m.now < m.startedAt[i]+4*clock.Second {
+			return 16
+		}
+
+		return daemonCount
+	}
+	balancer := balance.New(balance.Options{Zone: "zone0", Daemons: daemons, Uniform: m.random.Float64})
+	m.coordinators[i] = gather.New(policy, balancer, daemons, m.random.Float64)
+}
+
+// scheduleRestarts restarts the daemons in turn, from the given one on.
+func (m *simulation) scheduleRestarts(i int) {
+	if m.scenario.restarts == 0 {
+		return
+	}
+	m.after(m.scenario.restarts, func() {
+		m.startDaemon(i)
+		m.scheduleRestarts((i + 1) % daemonCount)
+	})
+}
+
 // report returns the load that a server reports.
 func (s *server) report() *balance.Load {
 	return &balance.Load{Running: serverSlots - s.slots, Waiting: len(s.queue), Slots: serverSlots}
@@ -302,6 +343,9 @@
 		if m.scenario.reports && r.Sent && !s.silent {
 			r.Load = s.report()
 		}
+		if r.Sent && !s.silent {
+			r.Limit = s.rates.at(m.now)
+		}
 		m.after(in, func() { m.execute(t, t.query.HandleResult(m.now, a.Number, r)) })
 	}
 	if s.dead {
@@ -310,6 +354,7 @@
 		return
 	}
 	m.legs++
+	s.arrivals = append(s.arrivals, m.now)
 	if !t.reached[a.Service.Name] {
 		t.reached[a.Service.Name] = true
 		m.firstLegs++
