Keep to the rate limits that upstreams name

Now each daemon keeps to the limit divided by the daemons that take requests, with a token bucket per upstream. What the limits leave no room for goes to another replica, is left out, or is refused at once as not run, reason `limit`, with the time until there is room.

--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -76,14 +76,17 @@
 	limited   bool
 	limit     RateLimit
 	limitSent clock.Milli
+	// limitTokens is how many requests the limit leaves room for at the instant limitRefilled.
+	limitTokens   float64
+	limitRefilled clock.Milli
 }
 
 // Options are the settings by which one daemon chooses upstreams.
 type Options struct {
 	// Zone is the availability zone of this daemon.
 	Zone string
-	// Daemons returns how many daemons share an upstream's connections and its request rate while it is
-	// cold.
+	// Daemons returns how many daemons share an upstream's connections, the rate limit that it names, and its
+	// request rate while it is cold.
 	Daemons func() int
 	// Uniform returns a random number from 0 to 1. If it is nil, rand.Float64 is used.
 	Uniform func() float64
@@ -138,7 +141,7 @@
 // available reports whether the upstream may get one more request of this daemon.
 func (b *Balancer) available(now clock.Milli, service catalog.Service, u *catalog.Upstream) bool {
 	s := b.state(now, u)
-	if now < s.blockedUntil {
+	if now < s.blockedUntil || b.LimitWait(now, u) > 0 {
 		return false
 	}
 	if service.MaxConnections > 0 && len(s.inFlight) >= b.connectionLimit(service) {
@@ -172,6 +175,17 @@
 	if now < s.warmupEnd && service.WarmupRate > 0 {
 		s.tokens--
 	}
+	if s.limited {
+		b.refillLimit(now, s)
+		s.limitTokens--
+	}
+}
+
+// SentForOther records that a request was sent to the upstream for another daemon, which has counted it against its
+// own shares of the upstream's limits.
+func (b *Balancer) SentForOther(now clock.Milli, u *catalog.Upstream) {
+	s := b.state(now, u)
+	s.inFlight = append(s.inFlight, now)
 }
 
 // Answered records that a request sent at an instant was answered well, with the load that the
--- a/core/balance/limit_test.go
+++ b/core/balance/limit_test.go
@@ -45,4 +45,46 @@
 		handle(now+5, 20)
 		Expect(changes).To(Equal([]float64{8}))
 	})
+
+	service := catalog.Service{Name: "s", MaxConnections: 100}
+	choose := func(at clock.Milli) *catalog.Upstream {
+		return b.Choose(at, service, []*catalog.Upstream{u}, func(*catalog.Upstream) bool { return false })
+	}
+
+	It("is kept by each daemon for its share, from the answer that names it on", func() {
+		Expect(choose(now)).To(Equal(u))
+		b.HandleLimit(now, now-20, u, new(balance.RateLimit(8)))
+		for i := range 10 {
+			at := now + clock.Milli(i)*500
+			Expect(choose(at + 499)).To(BeNil())
+			Expect(b.LimitWait(at+490, u)).To(BeNumerically("~", 10, 0.01))
+			Expect(choose(at + 501)).To(Equal(u))
+			b.Sent(at+500, service, u)
+		}
+	})
+
+	It("allows the requests of a second at once after a quiet time", func() {
+		b.HandleLimit(now, now-20, u, new(balance.RateLimit(12)))
+		at := now + clock.Minute
+		n := 0
+		for ; choose(at) != nil && n < 100; n++ {
+			Expect(b.Spare(at, u)).To(Equal(n == 0))
+			b.Sent(at, service, u)
+		}
+		Expect(n).To(Equal(3))
+	})
+
+	It("leaves room for one request in a while if it is 0, whose answer may end it", func() {
+		b.HandleLimit(now, now-20, u, new(balance.RateLimit(0)))
+		Expect(b.LimitWait(now, u)).To(Equal(16 * clock.Second))
+		Expect(choose(now + 17*clock.Second)).To(Equal(u))
+		b.HandleLimit(now+18*clock.Second, now+17*clock.Second, u, nil)
+		Expect(b.LimitWait(now+18*clock.Second, u)).To(BeZero())
+	})
+
+	It("counts what is sent for another daemon against that daemon's share", func() {
+		b.HandleLimit(now, now-20, u, new(balance.RateLimit(8)))
+		b.SentForOther(now+500, u)
+		Expect(choose(now + 501)).To(Equal(u))
+	})
 })
--- a/core/catalog/config.go
+++ b/core/catalog/config.go
@@ -1,6 +1,7 @@
 package catalog
 
 import (
+	"math"
 	"strings"
 
 	"jacinthferry/core/clock"
@@ -36,11 +37,27 @@
 	// it may cover.
 	Top         int
 	MinCoverage float64
+	// reservedShards is the most shards that an answer of a more urgent route over the same shards needs.
+	reservedShards int
 }
 
 // Gathers reports whether a request goes to every shard and the answers are merged.
 func (r *Route) Gathers() bool { return len(r.Shards) > 0 }
 
+// MinShards returns how many shards an answer must cover.
+func (r *Route) MinShards() int {
+	if !r.Gathers() {
+		return 1
+	}
+	// The small term keeps rounding errors, as in 0.9 * 20, from adding a shard.
+	return max(1, int(math.Ceil(r.MinCoverage*float64(len(r.Shards))-1e-9)))
+}
+
+// ReservedShards returns how many shards must have room for a request where room is scarce: those that its own answer
+// needs, or an answer of a more urgent route over the same shards. A request that can do with fewer shards would
+// otherwise take the room from more urgent ones.
+func (r *Route) ReservedShards() int { return max(r.MinShards(), r.reservedShards) }
+
 // Service is the configuration of the upstreams of one service.
 type Service struct {
 	Name string
@@ -90,10 +107,31 @@
 		}
 		c.routes[r.Host][r.Prefix] = r
 	}
+	reserveShards(routes)
 
 	return c
 }
 
+// reserveShards sets the reserved shards of all routes.
+func reserveShards(routes []Route) {
+	shared := make(map[string][]*Route)
+	for i := range routes {
+		if r := &routes[i]; r.Gathers() {
+			key := strings.Join(r.Shards, " ")
+			shared[key] = append(shared[key], r)
+		}
+	}
+	for _, list := range shared {
+		for _, r := range list {
+			for _, other := range list {
+				if other.Priority < r.Priority {
+					r.reservedShards = max(r.reservedShards, other.MinShards())
+				}
+			}
+		}
+	}
+}
+
 // Match returns the route of the host whose prefix is the longest that path begins with, or nil. A host
 // with a port that has no routes of its own is looked up without the port. Prefixes begin and end with a
 // slash.
--- a/core/gather/legs.go
+++ b/core/gather/legs.go
@@ -8,8 +8,8 @@
 	"jacinthferry/core/reason"
 )
 
-// trySend sends a shard another leg, or drops the shard when no leg can bring an answer. If no upstream or
-// no budget is available, it is tried again after pollInterval.
+// trySend sends a shard another leg, or drops the shard when no leg can bring an answer, also because rate limits
+// leave no room in time. If no upstream or no budget is available, it is tried again after pollInterval.
 func (q *Query) trySend(now clock.Milli, i int) {
 	s := &q.shards[i]
 	if s.covered || s.dropped || s.inFlight > 0 {
@@ -21,6 +21,12 @@
 		return
 	}
 	u := q.chooseUpstream(now, i)
+	if u == nil && now+q.waitForRoom(now, i) >= q.answerDeadline() {
+		s.failReason = reason.Limit
+		q.drop(i)
+
+		return
+	}
 	if u == nil || !q.takeBudget(now, i) {
 		s.checkAt = now + pollInterval
 
@@ -29,6 +35,16 @@
 	q.send(now, i, u, s.failReason)
 }
 
+// waitForRoom returns how long the rate limits of all upstreams of a shard leave no room for another leg.
+func (q *Query) waitForRoom(now clock.Milli, i int) clock.Milli {
+	shortest := never
+	for _, u := range q.view.Usable(q.shards[i].service.Name) {
+		shortest = min(shortest, q.coordinator.balancer.LimitWait(now, u))
+	}
+
+	return shortest
+}
+
 // executors returns the upstreams that ran a shard's request, or may have.
 func (q *Query) executors(i int) []catalog.Key {
 	var list []catalog.Key
@@ -153,11 +169,12 @@
 }
 
 // worthHedging reports whether a hedge to the upstream may be answered before the first leg. Where
-// requests wait for a slot, a hedge would only lengthen the queue.
+// requests wait for a slot, a hedge would only lengthen the queue, and where a rate limit is nearly reached, it
+// would take the room of another request.
 func (q *Query) worthHedging(now clock.Milli, u *catalog.Upstream) bool {
 	f := q.coordinator.balancer
 
-	return !f.Stalled(now, u) && now+f.ExpectedLatency(now, u) <= q.answerDeadline() &&
+	return !f.Stalled(now, u) && f.Spare(now, u) && now+f.ExpectedLatency(now, u) <= q.answerDeadline() &&
 		f.ExpectedWait(now, u) <= hedgeWaitFraction*q.hedgeDelay
 }
 
--- a/core/gather/outcome.go
+++ b/core/gather/outcome.go
@@ -1,8 +1,6 @@
 package gather
 
 import (
-	"math"
-
 	"jacinthferry/core/clock"
 	"jacinthferry/core/reason"
 )
@@ -23,19 +21,10 @@
 	return min(q.request.Arrived+overdueFactor*q.route.Objective, q.answerDeadline())
 }
 
-// minShards returns how many shards an answer must cover.
-func (q *Query) minShards() int {
-	if !q.route.Gathers() {
-		return 1
-	}
-	// The small term keeps rounding errors, as in 0.9 * 20, from adding a shard.
-	return max(1, int(math.Ceil(q.route.MinCoverage*float64(len(q.shards))-1e-9)))
-}
-
-func (q *Query) coversEnough() bool { return q.covered >= q.minShards() }
+func (q *Query) coversEnough() bool { return q.covered >= q.route.MinShards() }
 
 // cannotAnswer reports whether too many shards were dropped for an answer.
-func (q *Query) cannotAnswer() bool { return q.covered+q.pending < q.minShards() }
+func (q *Query) cannotAnswer() bool { return q.covered+q.pending < q.route.MinShards() }
 
 // refuseUnavailable refuses a request, before any leg is sent, if too few shards have an upstream.
 func (q *Query) refuseUnavailable(now clock.Milli) bool {
@@ -118,11 +107,12 @@
 }
 
 // retryAfter returns a random time, so that the retries of refused callers are spread over the time in which
-// an upstream may be back.
+// an upstream may be back, and at least the time until rate limits leave room.
 func (q *Query) retryAfter(now clock.Milli) clock.Milli {
 	left := max(0, q.request.Deadline-now)
+	wait := min(maxRetryAfter, left*retryFraction) * clock.Milli(0.5+q.coordinator.uniform()/2)
 
-	return min(maxRetryAfter, left*retryFraction) * clock.Milli(0.5+q.coordinator.uniform()/2)
+	return max(wait, q.room-now)
 }
 
 const (
--- a/core/gather/overload.go
+++ b/core/gather/overload.go
@@ -24,10 +24,12 @@
 	hedgeWaitFraction = 0.1
 )
 
-// estimate is how long a shard is expected to take: the wait for a slot and the work after it.
+// estimate is how long a shard is expected to take: the wait for a slot and the work after it. Limited is set if the
+// wait is for room under the rate limits of its upstreams.
 type estimate struct {
 	shard      int
 	wait, work clock.Milli
+	limited    bool
 }
 
 func (e estimate) total() clock.Milli { return e.wait + e.work }
@@ -36,26 +38,48 @@
 // slowest shard that its answer needs. Otherwise, under several times the load that the upstreams can
 // serve, queues would grow until every answer is late.
 func (q *Query) refuseOverloaded(now clock.Milli, estimates []estimate) bool {
-	last := estimates[q.minShards()-1]
+	last := estimates[q.shardsToReserve(estimates)-1]
+	if last.limited {
+		q.detail = fmt.Sprintf("%s: no room under the rate limits of its upstreams for %.0f ms", q.serviceOf(last), last.wait)
+		q.room = now + last.wait
+		q.refuseAll(now, reason.Limit)
+
+		return true
+	}
 	limit := q.maxQueueWait(now, last)
 	if last.wait <= limit {
 		return false
 	}
-	name := q.shards[last.shard].service.Name
-	q.detail = fmt.Sprintf("%s: expected wait of %.0f ms for a slot exceeds %.0f ms", name, last.wait, limit)
+	q.detail = fmt.Sprintf("%s: expected wait of %.0f ms for a slot exceeds %.0f ms", q.serviceOf(last), last.wait, limit)
+	q.refuseAll(now, reason.Overload)
+
+	return true
+}
+
+func (q *Query) serviceOf(e estimate) string { return q.shards[e.shard].service.Name }
+
+// refuseAll refuses the request for the same reason at all shards.
+func (q *Query) refuseAll(now clock.Milli, code reason.Code) {
 	for i := range q.shards {
-		q.shards[i].failReason = reason.Overload
+		q.shards[i].failReason = code
 	}
 	q.finish(now)
+}
 
-	return true
+// shardsToReserve returns how many shards must have room for the request, given the estimates of all.
+func (q *Query) shardsToReserve(estimates []estimate) int {
+	if !slices.ContainsFunc(estimates, func(e estimate) bool { return e.limited }) {
+		return q.route.MinShards()
+	}
+
+	return min(q.route.ReservedShards(), len(estimates))
 }
 
 // skipSlowShards drops shards that would answer too late and that the answer can do without. If all upstreams
 // of a few shards are slow, each of these shards gets only the requests that need it.
 func (q *Query) skipSlowShards(estimates []estimate) {
-	for _, e := range estimates[q.minShards():] {
-		if e.total() > skipFraction*q.route.Objective {
+	for _, e := range estimates[q.route.MinShards():] {
+		if e.limited || e.total() > skipFraction*q.route.Objective {
 			q.drop(e.shard)
 			q.skipped = append(q.skipped, e.shard)
 		}
@@ -83,7 +107,8 @@
 	return queueFraction * q.route.Objective
 }
 
-// estimateShards returns the estimates of the shards that have upstreams, the shortest first.
+// estimateShards returns the estimates of the shards that have upstreams, the shortest first and those without room
+// under rate limits last.
 func (q *Query) estimateShards(now clock.Milli) []estimate {
 	list := make([]estimate, 0, len(q.shards))
 	for i := range q.shards {
@@ -91,7 +116,16 @@
 			list = append(list, q.estimateShard(now, i))
 		}
 	}
-	slices.SortFunc(list, func(a, b estimate) int { return cmp.Compare(a.total(), b.total()) })
+	slices.SortFunc(list, func(a, b estimate) int {
+		switch {
+		case a.limited == b.limited:
+			return cmp.Compare(a.total(), b.total())
+		case a.limited:
+			return 1
+		default:
+			return -1
+		}
+	})
 
 	return list
 }
@@ -103,6 +137,9 @@
 		e := estimate{
 			shard: i, wait: q.coordinator.balancer.ExpectedWait(now, u), work: q.coordinator.balancer.ServiceTime(now, u),
 		}
+		if wait := q.coordinator.balancer.LimitWait(now, u); wait > 0 {
+			e.wait, e.limited = max(e.wait, wait), true
+		}
 		if e.total() < best.total() {
 			best = e
 		}
--- a/core/gather/query.go
+++ b/core/gather/query.go
@@ -75,6 +75,8 @@
 	pending int
 	// skipped are the shards that were not asked because they would answer too late.
 	skipped []int
+	// room is when rate limits leave room for a request that is refused because of them.
+	room clock.Milli
 	// detail explains a refusal.
 	detail string
 	done   bool
--- a/io/gateway/relay.go
+++ b/io/gateway/relay.go
@@ -169,7 +169,7 @@
 	sent := g.options.Now()
 	deadline := sent + leg.Timeout
 	g.mu.Lock()
-	g.balancer.Sent(sent, catalog.Service{}, u)
+	g.balancer.SentForOther(sent, u)
 	g.mu.Unlock()
 	reply, result := s.exchange(number, u, deadline)
 	r := relayedLeg{leg: RelayResult{Number: leg.Number, Result: result}, ended: g.options.Now()}
