Ask a slower replica where the faster one has no room under its rate limit

Found while reading: a shard counted as without room when the upstream expected to answer first had none, though another replica had. Shards are looked at without the limited replicas first now. The spec was red: nothing was sent. Reserved shards are worked out in one pass over the routes in order of priority, as a configuration can have many.

--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -170,8 +170,8 @@
 // Sent records that a request was sent to the upstream. The method that records how it ended takes the
 // same instant to identify it.
 func (b *Balancer) Sent(now clock.Milli, service catalog.Service, u *catalog.Upstream) {
+	b.SentForOther(now, u)
 	s := b.state(now, u)
-	s.inFlight = append(s.inFlight, now)
 	if now < s.warmupEnd && service.WarmupRate > 0 {
 		s.tokens--
 	}
--- a/core/catalog/config.go
+++ b/core/catalog/config.go
@@ -1,7 +1,9 @@
 package catalog
 
 import (
+	"cmp"
 	"math"
+	"slices"
 	"strings"
 
 	"jacinthferry/core/clock"
@@ -122,12 +124,15 @@
 		}
 	}
 	for _, list := range shared {
-		for _, r := range list {
-			for _, other := range list {
-				if other.Priority < r.Priority {
-					r.reservedShards = max(r.reservedShards, other.MinShards())
-				}
+		slices.SortFunc(list, func(a, b *Route) int { return cmp.Compare(a.Priority, b.Priority) })
+		// urgent is the most that a route of an earlier priority needs, and most that of any route so far.
+		urgent, most := 0, 0
+		for i, r := range list {
+			if i > 0 && r.Priority > list[i-1].Priority {
+				urgent = most
 			}
+			r.reservedShards = urgent
+			most = max(most, r.MinShards())
 		}
 	}
 }
--- a/core/gather/limit_test.go
+++ b/core/gather/limit_test.go
@@ -217,6 +217,19 @@
 		Expect(actions[0].Upstream.ID).To(Equal("shard0-1"))
 	})
 
+	It("are spared where there is a slower replica, also when there is room again soon", func() {
+		d := newDaemon(1, 2, lookup)
+		limitAll(d, 2, 1)
+		q, actions := d.begin(start + 20)
+		Expect(actions[0].Upstream.ID).To(Equal("shard0-1"))
+		slow := success
+		slow.Load = &balance.Load{Running: 1, Slots: 2}
+		q.HandleResult(start+70, 0, slow)
+		_, actions = d.begin(start + 505)
+		Expect(ofKind(actions, gather.Send)).To(HaveLen(1))
+		Expect(actions[0].Upstream.ID).To(Equal("shard0-1"))
+	})
+
 	It("get their full load again soon after the limit lapsed", func() {
 		m := newSimulation(scenario{
 			perSecond: burstRate, burst: 1, reports: true, limited: 1, rates: rateLimits{{0, 8}, {4 * clock.Second, -1}},
--- a/core/gather/overload.go
+++ b/core/gather/overload.go
@@ -34,6 +34,18 @@
 
 func (e estimate) total() clock.Milli { return e.wait + e.work }
 
+// compareEstimates orders estimates: the shortest first, and those without room under rate limits last.
+func compareEstimates(a, b estimate) int {
+	switch {
+	case a.limited == b.limited:
+		return cmp.Compare(a.total(), b.total())
+	case a.limited:
+		return 1
+	default:
+		return -1
+	}
+}
+
 // refuseOverloaded refuses a request, before any leg is sent, that would wait too long for a slot at the
 // slowest shard that its answer needs. Otherwise, under several times the load that the upstreams can
 // serve, queues would grow until every answer is late.
@@ -107,8 +119,7 @@
 	return queueFraction * q.route.Objective
 }
 
-// estimateShards returns the estimates of the shards that have upstreams, the shortest first and those without room
-// under rate limits last.
+// estimateShards returns the estimates of the shards that have upstreams, in order.
 func (q *Query) estimateShards(now clock.Milli) []estimate {
 	list := make([]estimate, 0, len(q.shards))
 	for i := range q.shards {
@@ -116,23 +127,14 @@
 			list = append(list, q.estimateShard(now, i))
 		}
 	}
-	slices.SortFunc(list, func(a, b estimate) int {
-		switch {
-		case a.limited == b.limited:
-			return cmp.Compare(a.total(), b.total())
-		case a.limited:
-			return 1
-		default:
-			return -1
-		}
-	})
+	slices.SortFunc(list, compareEstimates)
 
 	return list
 }
 
 // estimateShard returns the estimate of the upstream of a shard that is expected to answer first.
 func (q *Query) estimateShard(now clock.Milli, i int) estimate {
-	best := estimate{shard: i, wait: never}
+	best := estimate{shard: i, wait: never, limited: true}
 	for _, u := range q.view.Usable(q.shards[i].service.Name) {
 		e := estimate{
 			shard: i, wait: q.coordinator.balancer.ExpectedWait(now, u), work: q.coordinator.balancer.ServiceTime(now, u),
@@ -140,7 +142,7 @@
 		if wait := q.coordinator.balancer.LimitWait(now, u); wait > 0 {
 			e.wait, e.limited = max(e.wait, wait), true
 		}
-		if e.total() < best.total() {
+		if compareEstimates(e, best) < 0 {
 			best = e
 		}
 	}
