Log requests that a full quarantine lets through, and name them as refusals do

Lines about crashes had the fingerprint of one shard's part, lines about refusals that of the request, and a quarantine that was full was not logged.

--- a/core/quarantine/crashes.go
+++ b/core/quarantine/crashes.go
@@ -36,6 +36,8 @@
 	Suspected
 	// Quarantined says that the request is in quarantine from now on.
 	Quarantined
+	// Overflowed says that the request would be in quarantine, if not too many others were.
+	Overflowed
 )
 
 // Attempt is the time that a request spent at an upstream, from when it was sent until the connection broke.
@@ -102,6 +104,8 @@
 	switch {
 	case quarantined:
 		return Quarantined
+	case c.tracker.overflowed(now, w.Fingerprint):
+		return Overflowed
 	case news:
 		return Suspected
 	default:
--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -126,6 +126,13 @@
 	return s != nil && s.quarantined
 }
 
+// overflowed reports whether the request has enough crashes for quarantine and is not there because of the limit.
+func (t *Tracker) overflowed(now clock.Milli, p Fingerprint) bool {
+	s := t.lookup(now, p)
+
+	return s != nil && !s.quarantined && len(s.crashes) >= t.config.Crashes
+}
+
 // RecordSuccess records that an upstream of the version answered the request. Unless the request is in
 // quarantine, that clears it of an earlier crash, because a request that crashes upstreams crashes each
 // of them.
--- a/io/gateway/crash.go
+++ b/io/gateway/crash.go
@@ -62,9 +62,7 @@
 	g.options.Record(event.Event{
 		Kind: event.Quarantine, Print: w.Fingerprint.String(), Detail: "crash seen by another daemon",
 	})
-	if change == quarantine.Quarantined {
-		g.recordQuarantined(event.Event{Print: w.Fingerprint.String()})
-	}
+	g.recordVerdict(event.Event{Print: w.Fingerprint.String()}, change)
 }
 
 // checkCrash attributes a crash to a call whose connection broke while an upstream ran it, if the upstream no longer
@@ -81,7 +79,7 @@
 	g.mu.Lock()
 	warning, change := g.crashes.RecordCrash(g.options.Now(), v, p, u.Key())
 	g.mu.Unlock()
-	e := event.Event{Service: u.Service, Upstream: u.ID, Request: call.ID, Print: p.String()}
+	e := event.Event{Service: u.Service, Upstream: u.ID, Request: call.ID, Print: fingerprint(call, "").String()}
 	g.recordCrashed(e)
 	if change == quarantine.Unchanged {
 		return
@@ -89,9 +87,7 @@
 	if g.options.OnCrash != nil {
 		g.options.OnCrash(warning)
 	}
-	if change == quarantine.Quarantined {
-		g.recordQuarantined(e)
-	}
+	g.recordVerdict(e, change)
 }
 
 // probeResult says what a new connection showed of an upstream that broke another one.
@@ -169,10 +165,17 @@
 	g.options.Record(e)
 }
 
-// recordQuarantined records that the request of an event is in quarantine from now on.
-func (g *Gateway) recordQuarantined(e event.Event) {
-	e.Kind, e.Reason = event.Quarantine, reason.Quarantine
-	e.Detail = "second upstream that crashed while running the request"
+// recordVerdict records whether a crash put the request of an event into quarantine.
+func (g *Gateway) recordVerdict(e event.Event, change quarantine.Change) {
+	e.Kind = event.Quarantine
+	switch change {
+	case quarantine.Quarantined:
+		e.Reason, e.Detail = reason.Quarantine, "second upstream that crashed while running the request"
+	case quarantine.Overflowed:
+		e.Reason, e.Detail = reason.Size, "second upstream that crashed, not refused: too many requests in quarantine"
+	default:
+		return
+	}
 	g.options.Record(e)
 }
 
