Count the crashes of a query for what the caller sent, not for each shard

Callers of a query to all shards saw half of all queries fail for as long as it was sent again: each time it ended the upstreams of all shards.

Cause: the evidence was kept by shard. A query to 90 shards was 90 suspects, of which each needed two crashes of its own, and after a change of the shards nothing was known of it. Now the request as a whole is the suspect until an upstream answers it; from then on its parts count, as a request can crash the upstreams of one shard alone. Upstreams of one availability zone that crash together still count once, so that the loss of a zone is no evidence; those of two zones count twice, and an answer, which used to leave a quarantine standing, ends it.

--- a/core/quarantine/crashes.go
+++ b/core/quarantine/crashes.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"maps"
 	"strconv"
 
 	"github.com/cespare/xxhash/v2"
@@ -46,13 +47,29 @@
 // overlaps reports whether both requests were at their upstreams at the same time.
 func (v Attempt) overlaps(other Attempt) bool { return v.Sent < other.Broken && other.Sent < v.Broken }
 
+// Prints are the fingerprints of what an upstream ran.
+type Prints struct {
+	// Request identifies the whole request.
+	Request Fingerprint
+	// Part identifies the part for one shard. It is 0 unless the request goes to several shards.
+	Part Fingerprint
+}
+
+// attributedCrash is a crash that was attributed to a request.
+type attributedCrash struct {
+	Attempt
+	id   uint64
+	part Fingerprint
+}
+
 // CrashDetector attributes crashes of upstreams to the requests that ran there, and decides which requests to
-// refuse: those that crash each upstream that runs them and are sent again. It is not safe for
-// concurrent use.
+// refuse: those that crash each upstream that runs them and are sent again. A request that goes to several shards
+// counts as a whole until an upstream answers it; from then on, its parts count, each by itself. It is not
+// safe for concurrent use.
 type CrashDetector struct {
 	tracker *Tracker
-	// lastCrash is the attempt that ended with the last crash attributed to a request.
-	lastCrash map[Fingerprint]Attempt
+	// lastCrash is the last crash attributed to a request or part, by availability zone.
+	lastCrash map[Fingerprint]map[string]attributedCrash
 	// answered and olderAnswered are the requests answered since rotatedAt and in the span before.
 	answered, olderAnswered map[Fingerprint]struct{}
 	rotatedAt               clock.Milli
@@ -64,7 +81,7 @@
 func NewCrashDetector() *CrashDetector {
 	return &CrashDetector{
 		tracker:   NewTracker(Config{Crashes: crashLimit, Window: Period, Hold: Period, Limit: quarantineLimit}),
-		lastCrash: make(map[Fingerprint]Attempt), answered: make(map[Fingerprint]struct{}),
+		lastCrash: make(map[Fingerprint]map[string]attributedCrash), answered: make(map[Fingerprint]struct{}),
 		lastProbe: make(map[catalog.Key]clock.Milli),
 	}
 }
@@ -81,15 +98,25 @@
 }
 
 // RecordCrash attributes a crash of an upstream to a request that ran there, and returns what that changes and, if
-// anything, the warning to send to the other daemons. Upstreams that crash together count once: the request may have
-// run on all of them without being the cause.
-func (c *CrashDetector) RecordCrash(now clock.Milli, v Attempt, p Fingerprint, upstream catalog.Key) (Warning, Change) {
-	if last, known := c.lastCrash[p]; known && v.overlaps(last) {
+// anything, the warning to send to the other daemons. Upstreams of an availability zone that crash together count once:
+// a request that ran on all of them need not be the cause.
+func (c *CrashDetector) RecordCrash(now clock.Milli, v Attempt, p Prints, u *catalog.Upstream) (Warning, Change) {
+	suspect := p.Request
+	if c.answeredLately(now, p.Request) {
+		suspect = p.Part
+	}
+	if suspect == 0 {
+		return Warning{}, Unchanged
+	}
+	if last, known := c.lastCrash[suspect][u.Zone]; known && v.overlaps(last.Attempt) {
 		return Warning{}, Unchanged
 	}
-	c.lastCrash[p] = v
-	crash := xxhash.Sum64String(upstream.ID + " " + strconv.FormatInt(upstream.StartUnixMilli, 10))
-	w := Warning{Fingerprint: p, Crashes: []uint64{crash}, Remaining: Period}
+	id := xxhash.Sum64String(u.ID + " " + strconv.FormatInt(u.StartUnixMilli, 10))
+	if c.lastCrash[suspect] == nil {
+		c.lastCrash[suspect] = make(map[string]attributedCrash)
+	}
+	c.lastCrash[suspect][u.Zone] = attributedCrash{Attempt: v, id: id, part: p.Part}
+	w := Warning{Fingerprint: suspect, Crashes: []uint64{id}, Remaining: Period}
 
 	return w, c.Merge(now, w)
 }
@@ -118,13 +145,27 @@
 	return c.tracker.Quarantined(now, p)
 }
 
-// RecordSuccess records that an upstream answered a request, and reports whether that clears it of an earlier crash.
-// A request in quarantine stays there.
-func (c *CrashDetector) RecordSuccess(now clock.Milli, p Fingerprint) bool {
+// RecordSuccess records that an upstream answered a request, and reports whether that clears the request, or its part
+// for that shard, of a suspicion. The crashes attributed to a request that is cleared then count for its parts.
+func (c *CrashDetector) RecordSuccess(now clock.Milli, p Prints) bool {
 	c.rotateAnswered(now)
-	c.answered[p] = struct{}{}
-	s := c.tracker.lookup(now, p)
-	if s == nil || s.quarantined {
+	c.answered[p.Request] = struct{}{}
+	cleared := c.clear(now, p.Request)
+	if cleared {
+		for _, crash := range c.lastCrash[p.Request] {
+			if crash.part != 0 {
+				c.tracker.Merge(now, Warning{Fingerprint: crash.part, Crashes: []uint64{crash.id}, Remaining: Period})
+			}
+		}
+		delete(c.lastCrash, p.Request)
+	}
+
+	return c.clear(now, p.Part) || cleared
+}
+
+// clear removes a suspect and reports whether there was one.
+func (c *CrashDetector) clear(now clock.Milli, p Fingerprint) bool {
+	if c.tracker.lookup(now, p) == nil {
 		return false
 	}
 	c.tracker.removeSuspect(p)
@@ -161,8 +202,9 @@
 // Prune forgets the suspects, attempts and probes that are too old to count.
 func (c *CrashDetector) Prune(now clock.Milli) {
 	c.tracker.Prune(now)
-	for p, v := range c.lastCrash {
-		if now-v.Broken > Period {
+	for p, zones := range c.lastCrash {
+		maps.DeleteFunc(zones, func(_ string, crash attributedCrash) bool { return now-crash.Broken > Period })
+		if len(zones) == 0 {
 			delete(c.lastCrash, p)
 		}
 	}
--- a/core/quarantine/crashes_test.go
+++ b/core/quarantine/crashes_test.go
@@ -14,11 +14,12 @@
 var _ = Describe("a crash attributed to a request", func() {
 	const now = 100 * clock.Second
 	p := quarantine.FingerprintOf("markers", "poison")
-	one, two := catalog.Key{ID: "one"}, catalog.Key{ID: "two"}
+	request := quarantine.Prints{Request: p}
+	one, two := &catalog.Upstream{ID: "one"}, &catalog.Upstream{ID: "two"}
 	var c *quarantine.CrashDetector
 	BeforeEach(func() { c = quarantine.NewCrashDetector() })
-	record := func(at clock.Milli, v quarantine.Attempt, u catalog.Key) quarantine.Change {
-		_, change := c.RecordCrash(at, v, p, u)
+	record := func(at clock.Milli, v quarantine.Attempt, u *catalog.Upstream) quarantine.Change {
+		_, change := c.RecordCrash(at, v, request, u)
 
 		return change
 	}
@@ -38,20 +39,41 @@
 	})
 
 	It("counts as one with another at the same time", func() {
-		c.RecordCrash(now+10, quarantine.Attempt{Sent: now, Broken: now + 8}, p, one)
+		c.RecordCrash(now+10, quarantine.Attempt{Sent: now, Broken: now + 8}, request, one)
 		Expect(record(now+10, quarantine.Attempt{Sent: now + 1, Broken: now + 9}, two)).To(Equal(quarantine.Unchanged))
 		Expect(c.Quarantined(now+10, p)).To(BeFalse())
 	})
 
+	It("counts with another at the same time in another availability zone, and no longer after an answer", func() {
+		a, b := &catalog.Upstream{ID: "a", Zone: "a"}, &catalog.Upstream{ID: "b", Zone: "b"}
+		Expect(record(now+10, quarantine.Attempt{Sent: now, Broken: now + 8}, a)).To(Equal(quarantine.Suspected))
+		Expect(record(now+10, quarantine.Attempt{Sent: now, Broken: now + 8}, b)).To(Equal(quarantine.Quarantined))
+		Expect(c.RecordSuccess(now+11, request)).To(BeTrue())
+		Expect(c.Quarantined(now+11, p)).To(BeFalse())
+	})
+
+	It("of the upstreams of one shard alone puts the part for that shard into quarantine", func() {
+		parts := []quarantine.Prints{{Request: p, Part: p + 1}, {Request: p, Part: p + 2}}
+		for n := range 2 {
+			at := now + clock.Milli(n)*clock.Second
+			u := &catalog.Upstream{ID: strconv.Itoa(n)}
+			c.RecordCrash(at+5, quarantine.Attempt{Sent: at, Broken: at + 5}, parts[0], u)
+			c.RecordSuccess(at+6, parts[1])
+		}
+		Expect(c.Quarantined(now+2*clock.Second, p)).To(BeFalse())
+		Expect(c.Quarantined(now+2*clock.Second, parts[0].Part)).To(BeTrue())
+		Expect(c.Quarantined(now+2*clock.Second, parts[1].Part)).To(BeFalse())
+	})
+
 	It("no longer counts after an answer", func() {
-		c.RecordCrash(now+10, quarantine.Attempt{Sent: now, Broken: now + 5}, p, one)
-		Expect(c.RecordSuccess(now+6, p)).To(BeTrue())
+		c.RecordCrash(now+10, quarantine.Attempt{Sent: now, Broken: now + 5}, request, one)
+		Expect(c.RecordSuccess(now+6, request)).To(BeTrue())
 		Expect(c.Empty()).To(BeTrue())
 		Expect(record(now+20, quarantine.Attempt{Sent: now + 12, Broken: now + 15}, two)).To(Equal(quarantine.Unchanged))
 	})
 
 	It("is forgotten after its time without another request", func() {
-		c.RecordCrash(now, quarantine.Attempt{Sent: now, Broken: now + 5}, p, one)
+		c.RecordCrash(now, quarantine.Attempt{Sent: now, Broken: now + 5}, request, one)
 		c.Prune(now + quarantine.Period - clock.Second)
 		Expect(c.Empty()).To(BeFalse())
 		c.Prune(now + quarantine.Period + clock.Second)
@@ -60,9 +82,9 @@
 
 	It("counts together with the crashes that other daemons saw, each process once", func() {
 		warnings := make([]quarantine.Warning, 0, 2)
-		for _, u := range []catalog.Key{one, two} {
+		for _, u := range []*catalog.Upstream{one, two} {
 			other := quarantine.NewCrashDetector()
-			w, _ := other.RecordCrash(now, quarantine.Attempt{Sent: now, Broken: now + 5}, p, u)
+			w, _ := other.RecordCrash(now, quarantine.Attempt{Sent: now, Broken: now + 5}, request, u)
 			warnings = append(warnings, w)
 		}
 		Expect(c.Merge(now, warnings[0])).To(Equal(quarantine.Suspected))
@@ -77,8 +99,8 @@
 	It("does not count for a request that was answered a short time ago, as many callers send some requests", func() {
 		for i := range 5 {
 			at := now + clock.Milli(i)*10*clock.Second
-			c.RecordSuccess(at, p)
-			for n, u := range []catalog.Key{one, two} {
+			c.RecordSuccess(at, request)
+			for n, u := range []*catalog.Upstream{one, two} {
 				sent := at + clock.Milli(n)*clock.Second
 				Expect(record(sent+5, quarantine.Attempt{Sent: sent, Broken: sent + 5}, u)).To(Equal(quarantine.Unchanged))
 			}
@@ -94,25 +116,25 @@
 				continue
 			}
 			crashes++
-			record(at, quarantine.Attempt{Sent: at - 5, Broken: at}, catalog.Key{ID: strconv.Itoa(crashes)})
+			record(at, quarantine.Attempt{Sent: at - 5, Broken: at}, &catalog.Upstream{ID: strconv.Itoa(crashes)})
 		}
 		Expect(crashes).To(Equal(2))
 	})
 
 	It("is remembered with a limited number of answered requests", func() {
 		for n := range 100_000 {
-			c.RecordSuccess(now, quarantine.Fingerprint(n))
+			c.RecordSuccess(now, quarantine.Prints{Request: quarantine.Fingerprint(n)})
 		}
 		Expect(c.AnsweredCount()).To(BeNumerically("<=", 2*4096))
 		Expect(record(now, quarantine.Attempt{Sent: now, Broken: now + 1}, one)).To(Equal(quarantine.Suspected))
 	})
 
 	It("is looked for at most once per interval at each upstream, and expires", func() {
-		Expect(c.NextProbe(now, one)).To(Equal(now))
-		Expect(c.NextProbe(now+100, one)).To(Equal(now + 200))
-		Expect(c.NextProbe(now+100, two)).To(Equal(now + 100))
-		Expect(c.NextProbe(now+200, one)).To(Equal(now + 400))
-		c.RecordCrash(now+10, quarantine.Attempt{Sent: now, Broken: now + 5}, p, one)
+		Expect(c.NextProbe(now, one.Key())).To(Equal(now))
+		Expect(c.NextProbe(now+100, one.Key())).To(Equal(now + 200))
+		Expect(c.NextProbe(now+100, two.Key())).To(Equal(now + 100))
+		Expect(c.NextProbe(now+200, one.Key())).To(Equal(now + 400))
+		c.RecordCrash(now+10, quarantine.Attempt{Sent: now, Broken: now + 5}, request, one)
 		c.Prune(now + 2*quarantine.Period)
 		Expect(record(now+2*quarantine.Period, quarantine.Attempt{Sent: now, Broken: now + 5}, two)).To(Equal(quarantine.Suspected))
 	})
--- a/io/gateway/crash.go
+++ b/io/gateway/crash.go
@@ -14,21 +14,21 @@
 )
 
 // fingerprint returns the fingerprint of a call, or of its part for one shard. It is the same whenever a caller repeats
-// the call, and whichever service its route names then; shard is "" unless the route gathers.
+// the call, and whichever services its route names then; shard is "" for the whole call.
 func fingerprint(call *Call, shard string) quarantine.Fingerprint {
 	return quarantine.FingerprintOf(shard, call.Method, " ", call.Host, call.Target, "\n", string(call.Body))
 }
 
-// quarantined reports whether a call, or its part for a shard of the route, is in quarantine.
-func (g *Gateway) quarantined(call *Call, route *catalog.Route) bool {
+// quarantined reports whether a call with the given fingerprint, or its part for a shard of the route, is in quarantine.
+func (g *Gateway) quarantined(call *Call, print quarantine.Fingerprint, route *catalog.Route) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.crashes.Empty() {
 		return false
 	}
 	now := g.options.Now()
-	if !route.Gathers() {
-		return g.crashes.Quarantined(now, fingerprint(call, ""))
+	if g.crashes.Quarantined(now, print) {
+		return true
 	}
 	for _, shard := range route.Shards {
 		if g.crashes.Quarantined(now, fingerprint(call, shard)) {
@@ -39,18 +39,6 @@
 	return false
 }
 
-// recordAnswered records that an upstream has answered a call, which shows that the call does not crash upstreams.
-func (g *Gateway) recordAnswered(call *Call, service string, p quarantine.Fingerprint) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if g.crashes.RecordSuccess(g.options.Now(), p) {
-		g.options.Record(event.Event{
-			Kind: event.Quarantine, Service: service, Request: call.ID, Print: p.String(),
-			Detail: "answered: no longer a suspect",
-		})
-	}
-}
-
 // MergeWarning merges what another daemon knows of a request that crashes upstreams.
 func (g *Gateway) MergeWarning(w quarantine.Warning) {
 	g.mu.Lock()
@@ -67,19 +55,19 @@
 
 // checkCrash attributes a crash to a call whose connection broke while an upstream ran it, if the upstream no longer
 // accepts connections.
-func (g *Gateway) checkCrash(call *Call, p quarantine.Fingerprint, u *catalog.Upstream, v quarantine.Attempt) {
+func (g *Gateway) checkCrash(call *Call, p quarantine.Prints, u *catalog.Upstream, v quarantine.Attempt) {
 	probe := g.probeUpstream(u)
 	<-probe.done
 	if probe.result == upstreamSilent {
-		g.recordUnattributed(call, u, p, "the probe timed out")
+		g.recordUnattributed(call, u, p.Request, "the probe timed out")
 	}
 	if probe.result != upstreamCrashed {
 		return
 	}
 	g.mu.Lock()
-	warning, change := g.crashes.RecordCrash(g.options.Now(), v, p, u.Key())
+	warning, change := g.crashes.RecordCrash(g.options.Now(), v, p, u)
 	g.mu.Unlock()
-	e := event.Event{Service: u.Service, Upstream: u.ID, Request: call.ID, Print: fingerprint(call, "").String()}
+	e := event.Event{Service: u.Service, Upstream: u.ID, Request: call.ID, Print: p.Request.String()}
 	g.recordCrashed(e)
 	if change == quarantine.Unchanged {
 		return
--- a/io/gateway/export_test.go
+++ b/io/gateway/export_test.go
@@ -13,7 +13,10 @@
 
 // NewSender returns a Sender for one leg of a call.
 func (g *Gateway) NewSender(call *Call) Sender {
-	return Sender{&sender{gateway: g, call: call, conns: make([]*conn, 1)}}
+	s := newSender(g, call, 0)
+	s.conns = make([]*conn, 1)
+
+	return Sender{s}
 }
 
 // Exchange sends the leg and returns its result.
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -136,12 +136,11 @@
 	if call.Timeout <= 0 {
 		call.Timeout = route.Timeout
 	}
-	if g.quarantined(call, route) {
-		return g.refuseQuarantined(call, route)
-	}
-	p := &pendingRequest{
-		sender: &sender{gateway: g, call: call, top: route.Top}, route: route, config: view.Config, done: make(chan struct{}),
+	s := newSender(g, call, route.Top)
+	if g.quarantined(call, s.print, route) {
+		return g.refuseQuarantined(s, route)
 	}
+	p := &pendingRequest{sender: s, route: route, config: view.Config, done: make(chan struct{})}
 	p.start(view)
 	select {
 	case <-p.done:
@@ -177,10 +176,10 @@
 }
 
 // refuseQuarantined refuses a call that is in quarantine because it crashes upstreams.
-func (g *Gateway) refuseQuarantined(call *Call, route *catalog.Route) Response {
+func (g *Gateway) refuseQuarantined(s *sender, route *catalog.Route) Response {
 	g.options.Record(event.Event{
-		Kind: event.Refusal, Reason: reason.Quarantine, Service: route.Name, Request: call.ID,
-		Print:  fingerprint(call, "").String(),
+		Kind: event.Refusal, Reason: reason.Quarantine, Service: route.Name, Request: s.call.ID,
+		Print:  s.print.String(),
 		Detail: "upstreams crashed while running the request, run no",
 	})
 
--- a/io/gateway/relay.go
+++ b/io/gateway/relay.go
@@ -62,6 +62,7 @@
 			// The reply to the first good leg holds the merged records of all.
 			p.replies[part.Number] = &UpstreamResponse{Stamp: part.Stamp, Body: body}
 			body = nil
+			p.recordAnswered(p.query.Upstream(part.Number).Service)
 		}
 		parts = append(parts, gather.LegResult{Number: part.Number, Result: part.Result})
 	}
@@ -94,7 +95,8 @@
 func (g *Gateway) SendLegs(
 	ctx context.Context, call *Call, legs []RelayLeg, wait clock.Milli, top int, send func(RelayResponse),
 ) {
-	s := &sender{gateway: g, call: call, top: top, conns: make([]*conn, len(legs))}
+	s := newSender(g, call, top)
+	s.conns = make([]*conn, len(legs))
 	defer context.AfterFunc(ctx, s.cancelAll)()
 	relayed := make(chan relayedLeg, len(legs))
 	for i := range legs {
--- a/io/gateway/sender.go
+++ b/io/gateway/sender.go
@@ -18,6 +18,8 @@
 type sender struct {
 	gateway *Gateway
 	call    *Call
+	// print is the fingerprint of the call.
+	print quarantine.Fingerprint
 	// top is how many records the answer takes of each response, or 0 for a request to one upstream, whose
 	// response is forwarded.
 	top int
@@ -27,6 +29,10 @@
 	abandoned bool
 }
 
+func newSender(g *Gateway, call *Call, top int) *sender {
+	return &sender{gateway: g, call: call, print: fingerprint(call, ""), top: top}
+}
+
 // cancelLeg aborts a running leg by a deadline in the past. The gateway's lock is held.
 func (s *sender) cancelLeg(number int) {
 	if c := s.conns[number]; c != nil {
@@ -63,19 +69,38 @@
 	}
 	result := s.handleResponse(u, reply)
 	if result.OK {
-		g.recordAnswered(s.call, u.Service, s.fingerprint(u.Service))
+		g.mu.Lock()
+		s.recordAnswered(u.Service)
+		g.mu.Unlock()
 	}
 
 	return reply, result
 }
 
-// fingerprint returns the fingerprint of what is sent to a service: the call, or its part for that shard.
-func (s *sender) fingerprint(service string) quarantine.Fingerprint {
-	if s.top == 0 {
-		service = ""
+// prints returns the fingerprints of what is sent to a service.
+func (s *sender) prints(service string) quarantine.Prints {
+	p := quarantine.Prints{Request: s.print}
+	if s.top > 0 {
+		p.Part = fingerprint(s.call, service)
 	}
 
-	return fingerprint(s.call, service)
+	return p
+}
+
+// recordAnswered records that an upstream of a service has answered the call, which shows that the call does not crash
+// each upstream that runs it. The gateway's lock is held.
+func (s *sender) recordAnswered(service string) {
+	g := s.gateway
+	p := quarantine.Prints{Request: s.print}
+	if !g.crashes.Empty() {
+		p = s.prints(service)
+	}
+	if g.crashes.RecordSuccess(g.options.Now(), p) {
+		g.options.Record(event.Event{
+			Kind: event.Quarantine, Service: service, Request: s.call.ID, Print: p.Request.String(),
+			Detail: "answered: no longer a suspect",
+		})
+	}
 }
 
 // bodyLimit returns how many bytes the body of a response may have.
@@ -155,7 +180,7 @@
 	})
 	if sent && word == reason.Failed && !isTimeout(err) {
 		attempt := quarantine.Attempt{Sent: sentAt, Broken: s.gateway.options.Now()}
-		go s.gateway.checkCrash(s.call, s.fingerprint(u.Service), u, attempt)
+		go s.gateway.checkCrash(s.call, s.prints(u.Service), u, attempt)
 	}
 
 	return gather.Result{Run: run, Reason: word, Sent: sent}
