Let a full quarantine take in the newest request in place of the oldest

Cause: at its limit the quarantine let requests through, and nothing said so. Limits are needed for memory; what gives way now is the request that would have left next, and the log says it. One request can no longer use up what a daemon publishes: two crashes put it into quarantine everywhere, so no more are published. The limits are 1,024 requests, 4,096 suspects and 1,024 published crashes, counted by request now.

The spec of the tracker's limit names which requests are refused, where it only counted them; the one on its memory has the new limit and twice the requests.

--- a/core/quarantine/crashes.go
+++ b/core/quarantine/crashes.go
@@ -12,12 +12,12 @@
 
 const (
 	// Period is how long a request that crashes upstreams is refused, and how long a crash counts. Each period costs
-	// crashLimit upstreams while a caller goes on sending the request.
+	// CrashLimit upstreams while a caller goes on sending the request.
 	Period = 10 * clock.Minute
-	// crashLimit is the number of crashes, one after the other, that put a request into quarantine.
-	crashLimit = 2
+	// CrashLimit is the number of crashes, one after the other, that put a request into quarantine.
+	CrashLimit = 2
 	// quarantineLimit is the largest number of requests in quarantine at once.
-	quarantineLimit = 64
+	quarantineLimit = 1024
 	// probeInterval is the time between two probes of an upstream that broke a connection.
 	probeInterval = 200 * clock.Millisecond
 	// answeredSpan is how long at least an answer shows that a request does not crash upstreams, and answeredLimit
@@ -37,8 +37,8 @@
 	Suspected
 	// Quarantined says that the request is in quarantine from now on.
 	Quarantined
-	// Overflowed says that the request would be in quarantine, if not too many others were.
-	Overflowed
+	// Displaced says the same, and that the request took the place of the one that would have left next.
+	Displaced
 )
 
 // Attempt is the time that a request spent at an upstream, from when it was sent until the connection broke.
@@ -80,7 +80,7 @@
 // NewCrashDetector returns a detector that knows of no crash.
 func NewCrashDetector() *CrashDetector {
 	return &CrashDetector{
-		tracker:   NewTracker(Config{Crashes: crashLimit, Window: Period, Hold: Period, Limit: quarantineLimit}),
+		tracker:   NewTracker(Config{Crashes: CrashLimit, Window: Period, Hold: Period, Limit: quarantineLimit}),
 		lastCrash: make(map[Fingerprint]map[string]attributedCrash), answered: make(map[Fingerprint]struct{}),
 		lastProbe: make(map[catalog.Key]clock.Milli),
 	}
@@ -127,12 +127,13 @@
 	if c.answeredLately(now, w.Fingerprint) {
 		return Unchanged
 	}
+	full := c.tracker.quarantined >= quarantineLimit
 	news, quarantined := c.tracker.Merge(now, w)
 	switch {
+	case quarantined && full:
+		return Displaced
 	case quarantined:
 		return Quarantined
-	case c.tracker.overflowed(now, w.Fingerprint):
-		return Overflowed
 	case news:
 		return Suspected
 	default:
--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -39,7 +39,7 @@
 	Hold   clock.Milli
 	// Known is the number of harmless requests that are remembered.
 	Known int
-	// Limit is the largest number of requests in quarantine at once.
+	// Limit is the largest number of requests in quarantine at once. Beyond it, the one that would leave next gives way.
 	Limit int
 }
 
@@ -68,7 +68,7 @@
 }
 
 // suspectLimit is the largest number of suspects that are remembered.
-const suspectLimit = 1024
+const suspectLimit = 4096
 
 // suspect is a request to which crashes are attributed or that is in quarantine.
 type suspect struct {
@@ -126,13 +126,6 @@
 	return s != nil && s.quarantined
 }
 
-// overflowed reports whether the request has enough crashes for quarantine and is not there because of the limit.
-func (t *Tracker) overflowed(now clock.Milli, p Fingerprint) bool {
-	s := t.lookup(now, p)
-
-	return s != nil && !s.quarantined && len(s.crashes) >= t.config.Crashes
-}
-
 // RecordSuccess records that an upstream of the version answered the request. Unless the request is in
 // quarantine, that clears it of an earlier crash, because a request that crashes upstreams crashes each
 // of them.
@@ -191,11 +184,14 @@
 }
 
 // quarantine puts a suspect into quarantine until an instant. It reports false if the suspect was there
-// already or the limit is reached.
+// already or nothing may be in quarantine.
 func (t *Tracker) quarantine(s *suspect, until clock.Milli) bool {
-	if s.quarantined || t.quarantined >= t.config.Limit {
+	if s.quarantined || t.config.Limit <= 0 {
 		return false
 	}
+	if t.quarantined >= t.config.Limit {
+		t.removeFirst(func(other *suspect) bool { return other.quarantined })
+	}
 	s.quarantined, s.expires = true, until
 	t.quarantined++
 
@@ -258,20 +254,23 @@
 }
 
 func (t *Tracker) evict(now clock.Milli) {
-	var next Fingerprint
-	var at clock.Milli
-	for p, s := range t.suspects {
-		if now >= s.expires {
-			t.removeSuspect(p)
+	t.Prune(now)
+	if len(t.suspects) >= suspectLimit {
+		t.removeFirst(func(s *suspect) bool { return !s.quarantined })
+	}
+}
 
-			continue
-		}
-		if !s.quarantined && (at == 0 || s.expires < at || (s.expires == at && p < next)) {
-			next, at = p, s.expires
+// removeFirst removes the suspect that expires first of those that match, if any.
+func (t *Tracker) removeFirst(match func(*suspect) bool) {
+	var first Fingerprint
+	var next *suspect
+	for p, s := range t.suspects {
+		if match(s) && (next == nil || s.expires < next.expires || (s.expires == next.expires && p < first)) {
+			first, next = p, s
 		}
 	}
-	if len(t.suspects) >= suspectLimit && at != 0 {
-		t.removeSuspect(next)
+	if next != nil {
+		t.removeSuspect(first)
 	}
 }
 
--- a/core/quarantine/quarantine_test.go
+++ b/core/quarantine/quarantine_test.go
@@ -81,25 +81,34 @@
 		Expect(receiver.Quarantined(61*clock.Second, p)).To(BeFalse())
 	})
 
-	It("refuses no more requests at once than its limit", func() {
+	It("refuses no more requests at once than its limit, the latest ones", func() {
 		for i := range 5 {
 			q := quarantine.FingerprintOf("markers", fmt.Sprint(i))
-			tracker.RecordCrash(0, q, uint64(2*i))
-			tracker.RecordCrash(0, q, uint64(2*i+1))
+			tracker.RecordCrash(clock.Milli(i), q, uint64(2*i))
+			tracker.RecordCrash(clock.Milli(i), q, uint64(2*i+1))
 		}
-		held := 0
+		var held []int
 		for i := range 5 {
-			if tracker.Quarantined(1, quarantine.FingerprintOf("markers", fmt.Sprint(i))) {
-				held++
+			if tracker.Quarantined(5, quarantine.FingerprintOf("markers", fmt.Sprint(i))) {
+				held = append(held, i)
 			}
 		}
-		Expect(held).To(Equal(2))
+		Expect(held).To(Equal([]int{3, 4}))
+	})
+
+	It("refuses nothing with a limit of 0", func() {
+		off := config
+		off.Limit = 0
+		tracker = quarantine.NewTracker(off)
+		tracker.RecordCrash(0, p, 1)
+		tracker.RecordCrash(0, p, 2)
+		Expect(tracker.Quarantined(0, p)).To(BeFalse())
 	})
 
 	It("remembers a bounded number of suspects", func() {
-		for i := range 5000 {
-			tracker.RecordCrash(clock.Milli(i), quarantine.Fingerprint(i), uint64(i))
+		for i := range 10_000 {
+			tracker.RecordCrash(clock.Milli(i)/2, quarantine.Fingerprint(i), uint64(i))
 		}
-		Expect(len(tracker.Warnings(5000))).To(BeNumerically("<=", 1024))
+		Expect(len(tracker.Warnings(5000))).To(BeNumerically("<=", 4096))
 	})
 })
--- a/io/gateway/crash.go
+++ b/io/gateway/crash.go
@@ -155,16 +155,17 @@
 
 // recordVerdict records whether a crash put the request of an event into quarantine.
 func (g *Gateway) recordVerdict(e event.Event, change quarantine.Change) {
-	e.Kind = event.Quarantine
-	switch change {
-	case quarantine.Quarantined:
-		e.Reason, e.Detail = reason.Quarantine, "second upstream that crashed while running the request"
-	case quarantine.Overflowed:
-		e.Reason, e.Detail = reason.Size, "second upstream that crashed, not refused: too many requests in quarantine"
-	default:
+	if change != quarantine.Quarantined && change != quarantine.Displaced {
 		return
 	}
+	e.Kind, e.Reason = event.Quarantine, reason.Quarantine
+	e.Detail = "second upstream that crashed while running the request"
 	g.options.Record(e)
+	if change == quarantine.Displaced {
+		g.options.Record(event.Event{
+			Kind: event.Quarantine, Reason: reason.Size, Detail: "too many requests in quarantine: one left before its time",
+		})
+	}
 }
 
 // recordUnattributed records that a connection broke and the request is not suspected, and why.
--- a/io/registry/quarantine.go
+++ b/io/registry/quarantine.go
@@ -18,8 +18,9 @@
 	// crashesPrefix is the key prefix under which daemons publish the crashes that they saw. The daemon's name
 	// follows.
 	crashesPrefix = "jacinthferry/quarantine/"
-	// maxCrashes is how many crashes a daemon publishes at most; it keeps the newest.
-	maxCrashes = 256
+	// maxCrashes is how many crashes a daemon publishes at most; it keeps the newest. Of one request it publishes as
+	// many as put the request into quarantine.
+	maxCrashes = 1024
 )
 
 // crash is the crash of a process of an upstream while it ran a request.
@@ -67,11 +68,26 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, process := range w.Crashes {
+		if r.publishes(w.Fingerprint) >= quarantine.CrashLimit {
+			break
+		}
 		r.crashes = append(r.crashes, publishedCrash{crash{w.Fingerprint, process}, r.options.Now() + quarantine.Period})
 	}
 	r.crashes = r.crashes[max(0, len(r.crashes)-maxCrashes):]
 }
 
+// publishes returns how many crashes of a request this daemon publishes. The lock is held.
+func (r *Registry) publishes(p quarantine.Fingerprint) int {
+	n := 0
+	for _, c := range r.crashes {
+		if c.Print == p {
+			n++
+		}
+	}
+
+	return n
+}
+
 // inheritCrashes takes over the crashes that the previous run of this daemon published.
 func (r *Registry) inheritCrashes() {
 	if r.inheritedCrashes {
--- a/io/registry/quarantine_test.go
+++ b/io/registry/quarantine_test.go
@@ -36,6 +36,19 @@
 		Expect(r.writes).To(Equal(writes))
 	})
 
+	It("are published as far as they put a request into quarantine, so that one request does not use up the record", func() {
+		r := newHarness(self)
+		r.advance(0)
+		for process := range uint64(100) {
+			r.PublishCrash(warning(7, process))
+		}
+		r.PublishCrash(warning(8, 200))
+		r.advance(1000)
+		Expect(r.entries[key].Value).To(
+			Equal(`{"crashes":[{"print":7,"process":0},{"print":7,"process":1},{"print":8,"process":200}]}`),
+		)
+	})
+
 	It("are published again after a store failure", func() {
 		r := newHarness(self)
 		r.advance(0)
