Send a query that no upstream has answered on to one upstream at a time

What callers saw: the first time a query to all shards crashed its upstreams, it took both replicas of each shard with it, and the queries of all others failed until those were back.

Cause: an attempt did not look at what it did. Legs that take as long as a crash needs were hedged at all shards at once, and each connection that broke was followed by a retry at another replica. An ordinary query has answers of most shards before its first hedge. So until an upstream has responded, one shard at a time gets a second leg; once a connection broke, nothing further is sent while other legs are in flight, and then one leg alone; and a request that is in quarantine by then ends with that reason.

The spec "is sent to one further upstream at most once it has crashed one of each shard" failed before. Upstreams still end at the first attempt: the logs show one at a time at other zones, which the daemon that was asked hears of only through the store.

--- a/core/gather/coordinator.go
+++ b/core/gather/coordinator.go
@@ -193,6 +193,8 @@
 	FirstSent clock.Milli
 	// Arrived is when this attempt arrived.
 	Arrived clock.Milli
+	// Quarantined reports whether the request is known by now to crash the upstreams that run it. It may be nil.
+	Quarantined func() bool
 }
 
 // Kind is the type of an Action.
--- a/core/gather/legs.go
+++ b/core/gather/legs.go
@@ -20,6 +20,9 @@
 
 		return
 	}
+	if q.suspect() && !q.allowSuspect(now, i) {
+		return
+	}
 	u := q.chooseUpstream(now, i)
 	if u == nil && now+q.waitForRoom(now, i) >= q.answerDeadline() {
 		s.failReason = reason.Limit
@@ -134,6 +137,7 @@
 	s := &q.shards[i]
 	q.legs = append(q.legs, leg{shard: i, upstream: u, sentAt: now, inFlight: true, mayHaveRun: true})
 	s.inFlight++
+	q.inFlight++
 	s.checkAt = q.hedgeAt(now, s)
 	q.coordinator.balancer.Sent(now, s.service, u)
 	q.emit(Action{
@@ -158,6 +162,9 @@
 			continue
 		}
 		s.checkAt = now + pollInterval
+		if !q.mayHedge() {
+			continue
+		}
 		u := q.chooseUpstream(now, i)
 		if u == nil || !q.worthHedging(now, u) {
 			continue
--- a/core/gather/query.go
+++ b/core/gather/query.go
@@ -71,6 +71,11 @@
 	shards      []shard
 	legs        []leg
 	covered     int
+	// inFlight is how many legs are in flight, and broken how many lost their connection while an upstream may have
+	// run them. Answered is set once an upstream has responded after running the request.
+	inFlight int
+	broken   int
+	answered bool
 	// pending is how many shards are neither covered nor dropped.
 	pending int
 	// skipped are the shards that were not asked because they would answer too late.
@@ -122,9 +127,11 @@
 	l.inFlight = false
 	s := &q.shards[l.shard]
 	s.inFlight--
+	q.inFlight--
 	l.mayHaveRun = result.Run != reason.NotExecuted
 	l.unsent = !result.Sent
 	q.reportLeg(now, l, result)
+	q.updateSuspicion(now, result)
 	switch {
 	case q.done:
 		return false
@@ -250,7 +257,12 @@
 	if result.Forwardable {
 		s.answer, s.forwardable = number, true
 	}
-	if s.inFlight == 0 {
+	switch {
+	case s.inFlight > 0:
+	case q.suspect() && q.broken > 1:
+		// Whether the upstreams have crashed is being checked.
+		s.checkAt = now + pollInterval
+	default:
 		q.trySend(now, l.shard)
 	}
 }
--- a/io/gateway/pending.go
+++ b/io/gateway/pending.go
@@ -41,12 +41,17 @@
 	spent := min(max(0, p.route.Timeout-p.call.Timeout), p.route.Objective)
 	query, actions := g.coordinator.Begin(now, view, p.route, gather.Request{
 		ID: p.call.ID, Arrived: p.call.Arrived, FirstSent: p.call.Arrived - spent - p.call.NetworkDelay,
-		Deadline: p.call.Arrived + p.call.Timeout,
+		Deadline: p.call.Arrived + p.call.Timeout, Quarantined: p.inQuarantine,
 	})
 	p.query = query
 	p.perform(now, actions)
 }
 
+// inQuarantine reports whether the call has been put into quarantine since it was accepted. The gateway's lock is held.
+func (p *pendingRequest) inQuarantine() bool {
+	return p.gateway.crashes.Quarantined(p.gateway.options.Now(), p.print)
+}
+
 // growTo extends replies and conns so that they have an element for the leg with the given number.
 func (p *pendingRequest) growTo(number int) {
 	for len(p.replies) <= number {
