Let daemons warn each other directly of requests that crash upstreams

What callers saw: after the first attempt had crashed upstreams in its own zone, the daemon went on, one upstream at a time, until the store's watch brought what the daemons of other zones had seen; and while the store was away, each daemon knew its own crashes only.

Cause: daemons learned of crashes through the store alone, 0.4 s later at best. They now tell each other over the links by which they send legs for each other; the record in the store is for those that start later. A daemon sends no leg of a request that it has in quarantine for another one, and a retry after a broken connection waits 5 ms for the look at the upstream.

--- a/core/gather/query.go
+++ b/core/gather/query.go
@@ -259,8 +259,8 @@
 	}
 	switch {
 	case s.inFlight > 0:
-	case q.suspect() && q.broken > 1:
-		// Whether the upstreams have crashed is being checked.
+	case q.suspect():
+		// Whether the upstream has crashed is being checked.
 		s.checkAt = now + pollInterval
 	default:
 		q.trySend(now, l.shard)
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -91,13 +91,17 @@
 	links := relay.NewClient(ctx, now, &http.Client{Transport: &http.Transport{
 		DialContext:            socket.NewDialer(relayDialTimeout, relayAckTimeout).DialContext,
 		MaxResponseHeaderBytes: maxRelayHeaderBytes,
-	}}, s.Name, e.relayAddresses)
+	}}, s.Name, e.relayAddresses, e.otherRelayAddresses)
 	e.gateway = gateway.New(gateway.Options{
 		Relay: links.Send,
 		Now:   now, View: e.registry.View, DaemonCount: e.registry.DaemonCount, StoreContact: e.registry.StoreContact,
 		Codec:  platform.NewCodec(),
-		Record: e.journal.Record, Observe: e.observe, OnCrash: e.registry.PublishCrash, Zone: s.Zone,
+		Record: e.journal.Record, Observe: e.observe, Zone: s.Zone,
 		Policy: policy(s), ResponseMemory: s.MemoryMB * responseMemoryPerMB,
+		OnCrash: func(w quarantine.Warning) {
+			links.Warn(w)
+			e.registry.PublishCrash(w)
+		},
 	})
 	e.idle = socket.NewIdleCloser(now, func() clock.Milli { return e.gateway.Limits().IdleTimeout })
 	front := &platform.CallerHandler{
@@ -157,7 +161,7 @@
 		{s.ReadinessAddress, platform.ReadyHandler(e.Ready)},
 		{s.DirectoryAddress, platform.DirectoryHandler(e.addresses)},
 		{s.MetricsAddress, http.HandlerFunc(e.metrics)},
-		{s.RelayAddress, &relay.Server{Now: e.now, SendLegs: e.gateway.SendLegs}},
+		{s.RelayAddress, &relay.Server{Now: e.now, SendLegs: e.gateway.SendLegs, Warn: e.gateway.MergeWarning}},
 	}
 	for _, l := range listeners {
 		if l.address == "" {
@@ -203,6 +207,22 @@
 	return list
 }
 
+// otherRelayAddresses returns the relay addresses of all other daemons that serve requests.
+func (e *Entry) otherRelayAddresses() []string {
+	state := e.registry.State()
+	if state == nil {
+		return nil
+	}
+	var list []string
+	for _, m := range state.Members {
+		if m.Relay != "" && m.Relay != e.settings.Load().RelayAddress {
+			list = append(list, m.Relay)
+		}
+	}
+
+	return list
+}
+
 // maxAddresses is how many addresses a caller accepts at most.
 const maxAddresses = 64
 
--- a/io/gateway/crash.go
+++ b/io/gateway/crash.go
@@ -19,15 +19,15 @@
 	return quarantine.FingerprintOf(shard, call.Method, " ", call.Host, call.Target, "\n", string(call.Body))
 }
 
-// quarantined reports whether a call with the given fingerprint, or its part for a shard of the route, is in quarantine.
-func (g *Gateway) quarantined(call *Call, print quarantine.Fingerprint, route *catalog.Route) bool {
+// quarantined reports whether a call with the fingerprint p, or its part for a shard of the route, is in quarantine.
+func (g *Gateway) quarantined(call *Call, p quarantine.Fingerprint, route *catalog.Route) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.crashes.Empty() {
 		return false
 	}
 	now := g.options.Now()
-	if g.crashes.Quarantined(now, print) {
+	if g.crashes.Quarantined(now, p) {
 		return true
 	}
 	for _, shard := range route.Shards {
@@ -39,6 +39,14 @@
 	return false
 }
 
+// inQuarantine reports whether the call with the fingerprint p is in quarantine as a whole.
+func (g *Gateway) inQuarantine(p quarantine.Fingerprint) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+
+	return g.crashes.Quarantined(g.options.Now(), p)
+}
+
 // MergeWarning merges what another daemon knows of a request that crashes upstreams.
 func (g *Gateway) MergeWarning(w quarantine.Warning) {
 	g.mu.Lock()
--- a/io/gateway/crash_shards_test.go
+++ b/io/gateway/crash_shards_test.go
@@ -123,6 +123,19 @@
 		Expect(send(ctx, "/poison/1").Reason).To(Equal(reason.Quarantine))
 	})
 
+	It("is not sent for another daemon once it is in quarantine", func(ctx SpecContext) {
+		g.MergeWarning(quarantine.Warning{
+			Fingerprint: quarantine.FingerprintOf("", "GET h/poison/1\n"), Crashes: []uint64{1, 2}, Remaining: quarantine.Period,
+		})
+		call := &gateway.Call{ID: "r", Method: http.MethodGet, Host: "h", Target: "/poison/1", Header: http.Header{}}
+		legs := []gateway.RelayLeg{{Number: 3, Upstream: *index.servers[0].upstream, Timeout: clock.Second}}
+		var responses []gateway.RelayResponse
+		g.SendLegs(ctx, call, legs, 0, 1, func(r gateway.RelayResponse) { responses = append(responses, r) })
+		refused := gather.Result{Run: reason.NotExecuted, Reason: reason.Quarantine}
+		Expect(responses).To(Equal([]gateway.RelayResponse{{Results: []gateway.RelayResult{{Number: 3, Result: refused}}}}))
+		Expect(index.runs()).To(BeZero())
+	})
+
 	It("is answered in full by the other replicas when an availability zone ends under it", func(ctx SpecContext) {
 		for range 5 {
 			Expect(send(ctx, "/warm")).To(BeNil())
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -137,7 +137,7 @@
 		call.Timeout = route.Timeout
 	}
 	s := newSender(g, call, route.Top)
-	if g.quarantined(call, s.print, route) {
+	if g.quarantined(call, s.fingerprint, route) {
 		return g.refuseQuarantined(s, route)
 	}
 	p := &pendingRequest{sender: s, route: route, config: view.Config, done: make(chan struct{})}
@@ -179,7 +179,7 @@
 func (g *Gateway) refuseQuarantined(s *sender, route *catalog.Route) Response {
 	g.options.Record(event.Event{
 		Kind: event.Refusal, Reason: reason.Quarantine, Service: route.Name, Request: s.call.ID,
-		Print:  s.print.String(),
+		Print:  s.fingerprint.String(),
 		Detail: "upstreams crashed while running the request, run no",
 	})
 
--- a/io/gateway/pending.go
+++ b/io/gateway/pending.go
@@ -49,7 +49,7 @@
 
 // inQuarantine reports whether the call has been put into quarantine since it was accepted. The gateway's lock is held.
 func (p *pendingRequest) inQuarantine() bool {
-	return p.gateway.crashes.Quarantined(p.gateway.options.Now(), p.print)
+	return p.gateway.crashes.Quarantined(p.gateway.options.Now(), p.fingerprint)
 }
 
 // growTo extends replies and conns so that they have an element for the leg with the given number.
--- a/io/gateway/relay.go
+++ b/io/gateway/relay.go
@@ -162,6 +162,11 @@
 
 // sendRelayLeg sends one leg for another daemon.
 func (g *Gateway) sendRelayLeg(s *sender, number int, leg *RelayLeg) relayedLeg {
+	if g.inQuarantine(s.fingerprint) {
+		return relayedLeg{
+			leg: RelayResult{Number: leg.Number, Result: gather.Result{Run: reason.NotExecuted, Reason: reason.Quarantine}},
+		}
+	}
 	u := g.resolve(&leg.Upstream)
 	if u == nil {
 		return relayedLeg{
--- a/io/gateway/sender.go
+++ b/io/gateway/sender.go
@@ -18,8 +18,8 @@
 type sender struct {
 	gateway *Gateway
 	call    *Call
-	// print is the fingerprint of the call.
-	print quarantine.Fingerprint
+	// fingerprint is the fingerprint of the call.
+	fingerprint quarantine.Fingerprint
 	// top is how many records the answer takes of each response, or 0 for a request to one upstream, whose
 	// response is forwarded.
 	top int
@@ -30,7 +30,7 @@
 }
 
 func newSender(g *Gateway, call *Call, top int) *sender {
-	return &sender{gateway: g, call: call, print: fingerprint(call, ""), top: top}
+	return &sender{gateway: g, call: call, fingerprint: fingerprint(call, ""), top: top}
 }
 
 // cancelLeg aborts a running leg by a deadline in the past. The gateway's lock is held.
@@ -79,7 +79,7 @@
 
 // prints returns the fingerprints of what is sent to a service.
 func (s *sender) prints(service string) quarantine.Prints {
-	p := quarantine.Prints{Request: s.print}
+	p := quarantine.Prints{Request: s.fingerprint}
 	if s.top > 0 {
 		p.Part = fingerprint(s.call, service)
 	}
@@ -91,7 +91,7 @@
 // each upstream that runs it. The gateway's lock is held.
 func (s *sender) recordAnswered(service string) {
 	g := s.gateway
-	p := quarantine.Prints{Request: s.print}
+	p := quarantine.Prints{Request: s.fingerprint}
 	if !g.crashes.Empty() {
 		p = s.prints(service)
 	}
--- a/io/relay/client.go
+++ b/io/relay/client.go
@@ -32,24 +32,27 @@
 	httpClient *http.Client
 	self       string
 	peers      func(zone string) []string
+	others     func() []string
 
 	mu    sync.Mutex
 	conns map[string]*clientConn
 	// lastDial maps an address to the start of the last attempt to connect.
 	lastDial map[string]clock.Milli
+	// warnings are the latest ones, oldest first, for connections that open soon.
+	warnings []sentWarning
 	ctx      context.Context //nolint:containedctx // Links are opened later, and end with it.
 }
 
 // NewClient returns a relay client without open connections. They are opened on demand and close when ctx ends. The
 // function peers returns the addresses of the other daemons of a zone that send legs, in the same order
-// each time; self is the name of this daemon.
+// each time, and others those of the daemons of all zones; self is the name of this daemon.
 func NewClient(
 	ctx context.Context, now func() clock.Milli, httpClient *http.Client, self string,
-	peers func(zone string) []string,
+	peers func(zone string) []string, others func() []string,
 ) *Client {
 	return &Client{
-		ctx: ctx, now: now, httpClient: httpClient, self: self, peers: peers, conns: make(map[string]*clientConn),
-		lastDial: make(map[string]clock.Milli),
+		ctx: ctx, now: now, httpClient: httpClient, self: self, peers: peers, others: others,
+		conns: make(map[string]*clientConn), lastDial: make(map[string]clock.Milli),
 	}
 }
 
@@ -113,6 +116,7 @@
 	conn := newClientConn(c.now, socket)
 	c.mu.Lock()
 	c.conns[address] = conn
+	conn.warn(c.recentWarnings())
 	c.mu.Unlock()
 	klog.InfoS("relay connection opened", "address", address)
 	err = conn.run(c.ctx)
--- a/io/relay/relay_test.go
+++ b/io/relay/relay_test.go
@@ -14,6 +14,7 @@
 	"jacinthferry/core/catalog"
 	"jacinthferry/core/clock"
 	"jacinthferry/core/gather"
+	"jacinthferry/core/quarantine"
 	"jacinthferry/core/reason"
 	"jacinthferry/io/gateway"
 	"jacinthferry/io/relay"
@@ -42,13 +43,15 @@
 
 // remoteDaemon is a daemon that sends legs for others. Its calls channel holds the calls that it gets.
 type remoteDaemon struct {
-	server *httptest.Server
-	calls  chan *relayedCall
+	server   *httptest.Server
+	calls    chan *relayedCall
+	warnings chan quarantine.Warning
 }
 
 func newRemoteDaemon() *remoteDaemon {
-	d := &remoteDaemon{calls: make(chan *relayedCall, 10)}
-	d.server = httptest.NewServer(&relay.Server{Now: now, SendLegs: func(
+	d := &remoteDaemon{calls: make(chan *relayedCall, 10), warnings: make(chan quarantine.Warning, 200)}
+	warn := func(w quarantine.Warning) { d.warnings <- w }
+	d.server = httptest.NewServer(&relay.Server{Now: now, Warn: warn, SendLegs: func(
 		ctx context.Context, call *gateway.Call, legs []gateway.RelayLeg, wait clock.Milli, top int, send func(gateway.RelayResponse),
 	) {
 		c := &relayedCall{ctx, call, legs, wait, top, send, make(chan struct{})}
@@ -69,7 +72,8 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	DeferCleanup(cancel)
 
-	return relay.NewClient(ctx, now, http.DefaultClient, "self", func(string) []string { return addresses })
+	return relay.NewClient(ctx, now, http.DefaultClient, "self", func(string) []string { return addresses },
+		func() []string { return addresses })
 }
 
 // call sets all fields that are relayed.
@@ -194,6 +198,32 @@
 		close(relayed.done)
 	})
 
+	It("warns the remote daemon of requests that crash upstreams, also of those before it opened", func() {
+		remote := newRemoteDaemon()
+		client := newClient(remote.address())
+		before := quarantine.Warning{Fingerprint: 7, Crashes: []uint64{1, 1<<64 - 1}, Remaining: quarantine.Period}
+		after := quarantine.Warning{Fingerprint: 8, Crashes: []uint64{3}, Remaining: clock.Second}
+		client.Warn(before)
+		Eventually(remote.warnings).WithTimeout(timeout).Should(Receive(Equal(before)))
+		client.Warn(after)
+		Eventually(remote.warnings).WithTimeout(timeout).Should(Receive(Equal(after)))
+	})
+
+	It("carries no warning that is invalid, and a limited number when it opens", func() {
+		remote := newRemoteDaemon()
+		client := newClient(remote.address())
+		for n := range quarantine.Fingerprint(100) {
+			client.Warn(quarantine.Warning{Fingerprint: n, Crashes: []uint64{1, 2, 3}, Remaining: quarantine.Period})
+			client.Warn(quarantine.Warning{Fingerprint: n, Crashes: []uint64{1}, Remaining: quarantine.Period + 1})
+			client.Warn(quarantine.Warning{Fingerprint: n, Crashes: []uint64{1}, Remaining: quarantine.Period})
+		}
+		Eventually(remote.warnings).WithTimeout(timeout).Should(Receive())
+		Consistently(func() int { return len(remote.warnings) }, "300ms").Should(BeNumerically("<=", 100))
+		for len(remote.warnings) > 0 {
+			Expect(<-remote.warnings).To(HaveField("Crashes", HaveLen(1)))
+		}
+	})
+
 	It("is not available without a reachable peer", func() {
 		_, ok := newClient().Send(call, newGroup(clock.Second), nil)
 		Expect(ok).To(BeFalse())
--- a/io/relay/server.go
+++ b/io/relay/server.go
@@ -10,6 +10,7 @@
 	"k8s.io/klog/v2"
 
 	"jacinthferry/core/clock"
+	"jacinthferry/core/quarantine"
 	"jacinthferry/io/gateway"
 )
 
@@ -25,6 +26,8 @@
 		ctx context.Context, call *gateway.Call, legs []gateway.RelayLeg, wait clock.Milli, top int,
 		send func(gateway.RelayResponse),
 	)
+	// Warn is called with what another daemon knows of a request that crashes upstreams. It may be nil.
+	Warn func(quarantine.Warning)
 }
 
 // ServeHTTP accepts a WebSocket and serves it until it closes or the request's context ends. Legs that are
@@ -74,6 +77,7 @@
 		if m.Cancel != 0 {
 			c.cancel(m.Cancel)
 		}
+		c.warn(m.Warnings)
 	}
 }
 
@@ -97,6 +101,18 @@
 	return true
 }
 
+// warn passes on the valid warnings.
+func (c *serverConn) warn(list []warning) {
+	if c.server.Warn == nil {
+		return
+	}
+	for i := range list {
+		if w, valid := list[i].quarantineWarning(); valid {
+			c.server.Warn(w)
+		}
+	}
+}
+
 // cancel cancels the legs of a request that are still running.
 func (c *serverConn) cancel(id uint64) {
 	c.mu.Lock()
--- a/io/relay/wire.go
+++ b/io/relay/wire.go
@@ -8,6 +8,7 @@
 	"jacinthferry/core/catalog"
 	"jacinthferry/core/clock"
 	"jacinthferry/core/gather"
+	"jacinthferry/core/quarantine"
 	"jacinthferry/core/reason"
 	"jacinthferry/io/gateway"
 )
@@ -31,6 +32,27 @@
 	// Cancel is the ID of the request to be cancelled.
 	Cancel   uint64    `cbor:"cancel,omitempty"`
 	Response *response `cbor:"delivery,omitempty"`
+	Warnings []warning `cbor:"warnings,omitempty"`
+}
+
+// warning is what the sender knows of a request that crashes the upstreams that run it.
+type warning struct {
+	Print     uint64      `cbor:"print"`
+	Crashes   []uint64    `cbor:"crashes"`
+	Remaining clock.Milli `cbor:"remaining"`
+}
+
+func newWarning(w quarantine.Warning) warning {
+	return warning{Print: uint64(w.Fingerprint), Crashes: w.Crashes, Remaining: w.Remaining}
+}
+
+// quarantineWarning returns the warning, or false if it is invalid.
+func (w *warning) quarantineWarning() (quarantine.Warning, bool) {
+	valid := w.Remaining > 0 && w.Remaining <= quarantine.Period && len(w.Crashes) <= quarantine.CrashLimit
+
+	return quarantine.Warning{
+		Fingerprint: quarantine.Fingerprint(w.Print), Crashes: w.Crashes, Remaining: w.Remaining,
+	}, valid
 }
 
 // request hands over legs of one call.
@@ -182,7 +204,7 @@
 	if err := cbor.Unmarshal(data, &m); err != nil {
 		return m, errors.Wrap(ErrInvalidMessage, err.Error())
 	}
-	if m.Request == nil && m.Response == nil && m.Cancel == 0 {
+	if m.Request == nil && m.Response == nil && m.Cancel == 0 && len(m.Warnings) == 0 {
 		return m, errors.Wrap(ErrInvalidMessage, "empty")
 	}
 
