--- a/io/registry/entries.go
+++ b/io/registry/entries.go
@@ -1,6 +1,8 @@
 package registry
 
 import (
+	"fmt"
+
 	"jacinthferry/core/clock"
 	"jacinthferry/core/event"
 	"jacinthferry/core/reason"
@@ -12,6 +14,13 @@
 func (r *Registry) apply(now clock.Milli, e store.Entry) bool {
 	old, known := r.entries[e.Key]
 	if known && e.Revision <= old.revision {
+		if e.Revision < old.revision {
+			r.recordEvent(event.Event{
+				Kind: event.Store, Reason: reason.Compacted, Revision: uint64(e.Revision),
+				Detail: fmt.Sprintf("passed over %s, known at the later revision %d", e.Key, old.revision),
+			})
+		}
+
 		return false
 	}
 	if e.Deleted {
