--- a/standin/platform/store.go
+++ b/standin/platform/store.go
@@ -37,6 +37,8 @@
 	writes   *rate.Limiter
 	mu       sync.Mutex
 	revision int64
+	// generation is how often the store was restored from a copy.
+	generation int64
 	// compacted is the revision up to which deletions are no longer kept.
 	compacted int64
 	items     map[string]item
@@ -75,7 +77,7 @@
 func (s *Store) Operations() store.Store {
 	return store.Store{
 		Get: s.get, List: s.list, ListStale: s.list, Put: s.put, Delete: s.remove, Grant: s.grant, Renew: s.renew,
-		Revoke: s.revoke, Watch: s.watch, Instances: s.listInstances,
+		Revoke: s.revoke, Watch: s.watch, Instances: s.listInstances, Generation: s.currentGeneration,
 	}
 }
 
@@ -235,7 +237,8 @@
 	for {
 		s.mu.Lock()
 		s.expire()
-		list, revision, changed, compacted := s.changedSince(prefix, after, true), s.revision, s.changed, after < s.compacted
+		list, revision, changed := s.changedSince(prefix, after, true), s.revision, s.changed
+		compacted := after < s.compacted || after > revision
 		s.mu.Unlock()
 		if compacted {
 			return nil, 0, reason.NewRefusal(reason.Compacted, reason.NotExecuted, "revision is no longer kept; list again")
