Order what the store holds by its generation first

What callers saw: after the store had come back from a copy, changes of the configuration were not in force until the store had counted beyond what it had lost: 404 on new routes, and older versions elsewhere.

Cause: revisions were compared as if a store only ever counts up. Whatever came after the restore with a revision that was known before was passed over, and the watch, conditional writes and renewals of leases named numbers that mean something else by then. The client of the store now adds the generation, which the store tells in each answer, to the revisions and leases that it returns, and refuses what refers to an earlier one. The registry reads everything again after a restore. What the copy holds may be older than what the daemon knows: a configuration never goes back to an earlier version; for 2.5 s, until the owners have written again what was lost, draining upstreams keep draining, removed ones stay away, and upstreams, daemons and zones out of service that the copy lacks are kept. Then the store is read once more and believed.

The spec "does not keep the configurations after it from being in force" failed before; those of io/registry fail without reconcile, or without the grace period (tried).

--- a/io/registry/entries.go
+++ b/io/registry/entries.go
@@ -13,11 +13,11 @@
 // cannot be decoded counts as absent, except that the last valid configuration stays in force.
 func (r *Registry) apply(now clock.Milli, e store.Entry) bool {
 	old, known := r.entries[e.Key]
-	if known && e.Revision <= old.revision {
+	if known && e.Revision <= old.revision && (r.listing || !old.assumed) {
 		if e.Revision < old.revision {
 			r.recordEvent(event.Event{
 				Kind: event.Store, Reason: reason.Compacted, Revision: uint64(e.Revision),
-				Detail: fmt.Sprintf("passed over %s, known at the later revision %d", e.Key, old.revision),
+				Detail: fmt.Sprintf("passed over %s, known at the later revision %d", e.Key, store.Number(old.revision)),
 			})
 		}
 
@@ -38,9 +38,13 @@
 	if record.Kind == Ignored {
 		return false
 	}
+	record, verdict := r.reconcile(old.record, record, e)
+	if verdict == ignore {
+		return false
+	}
 	r.mergeCrashes(old.record.Crashes, record.Crashes)
 	r.recordChange(&old.record, &record, e)
-	r.entries[e.Key] = storedRecord{record: record, revision: e.Revision}
+	r.entries[e.Key] = storedRecord{record: record, revision: e.Revision, assumed: verdict == assume}
 
 	return true
 }
@@ -52,8 +56,9 @@
 	switch s.record.Kind {
 	case Config, Order, Progress, Report:
 		return false
-	case Upstream, Daemon:
-		if now < r.graceUntil {
+	case Upstream, Daemon, ZoneOut:
+		// An operator may bring a zone back while the store is in trouble, but only a restore makes it forget one.
+		if now < r.graceUntil && (s.record.Kind != ZoneOut || r.restoredUntil != 0) {
 			if s.expiresAt == 0 {
 				s.expiresAt = r.graceUntil
 				r.entries[key] = s
@@ -63,16 +68,17 @@
 		}
 	default:
 	}
-	r.remove(key, s)
+	r.remove(now, key, s)
 
 	return true
 }
 
-func (r *Registry) remove(key string, s storedRecord) {
+func (r *Registry) remove(now clock.Milli, key string, s storedRecord) {
 	delete(r.entries, key)
 	switch s.record.Kind {
 	case Upstream:
 		u := s.record.Upstream
+		r.rememberRemoval(now, key, u)
 		r.recordEvent(event.Event{
 			Kind: event.Upstream, Reason: reason.Lapsed, Service: u.Service, Upstream: u.ID, Zone: u.Zone,
 		})
@@ -89,7 +95,7 @@
 	changed := false
 	for key, s := range r.entries {
 		if s.expiresAt != 0 && now >= s.expiresAt {
-			r.remove(key, s)
+			r.remove(now, key, s)
 			changed = true
 		}
 	}
@@ -97,12 +103,19 @@
 	return changed
 }
 
-func (r *Registry) recordEvent(e event.Event) { r.options.Record(e) }
+// recordEvent records an event, with the number of its revision in the store's generation.
+func (r *Registry) recordEvent(e event.Event) {
+	e.Revision = uint64(store.Number(int64(e.Revision)))
+	r.options.Record(e)
+}
 
 // recordChange records an event for the difference that a new entry makes.
 func (r *Registry) recordChange(old, record *Record, e store.Entry) {
 	switch record.Kind {
 	case Config:
+		if record.Config == old.Config {
+			return
+		}
 		r.recordEvent(event.Event{Kind: event.Revision, Revision: uint64(e.Revision), Detail: "configuration"})
 	case Upstream:
 		u := record.Upstream
--- a/io/registry/quarantine_test.go
+++ b/io/registry/quarantine_test.go
@@ -12,8 +12,13 @@
 	. "github.com/onsi/gomega"
 )
 
+// crashKey is the key of the crashes that self publishes.
+const crashKey = "jacinthferry/quarantine/self"
+
+var crashWarning = quarantine.Warning{Fingerprint: 7, Crashes: []uint64{70}, Remaining: quarantine.Period}
+
 var _ = Describe("Crashes of upstreams while they ran a request", func() {
-	const key = "jacinthferry/quarantine/self"
+	const key = crashKey
 	warning := func(p quarantine.Fingerprint, process uint64) quarantine.Warning {
 		return quarantine.Warning{Fingerprint: p, Crashes: []uint64{process}, Remaining: quarantine.Period}
 	}
--- a/io/registry/registry.go
+++ b/io/registry/registry.go
@@ -60,6 +60,9 @@
 	revision int64
 	// expiresAt is when a record whose entry was deleted is removed, or 0 while the entry exists.
 	expiresAt clock.Milli
+	// assumed is set while the record is what was known before the store came back from a copy, which may differ from
+	// what the store holds.
+	assumed bool
 }
 
 // State is an immutable snapshot of the registry.
@@ -86,7 +89,13 @@
 	watchRevision int64
 	loaded        bool
 	// graceUntil is when the grace period after the last store failure or recovery ends.
-	graceUntil  clock.Milli
+	graceUntil clock.Milli
+	// restoredUntil is set while the store may hold older things than this daemon knows, because it came back from a
+	// copy and their owners have yet to write them again. Listing is set during a load in that period.
+	restoredUntil clock.Milli
+	listing       bool
+	// removed are the upstreams that were removed lately, by their key.
+	removed     map[string]removedUpstream
 	backoff     clock.Milli
 	unreachable bool
 	started     clock.Milli
@@ -121,7 +130,8 @@
 // New returns an empty registry. Run fills it.
 func New(options Options) *Registry {
 	return &Registry{
-		options: options, entries: make(map[string]storedRecord), analyzer: rollout.NewAnalyzer(),
+		options: options, entries: make(map[string]storedRecord), removed: make(map[string]removedUpstream),
+		analyzer: rollout.NewAnalyzer(),
 		resultsSent: make(map[string]clock.Milli), inherited: make(map[string]results), started: options.Now(),
 		wake: make(chan struct{}, 1),
 	}
@@ -196,7 +206,7 @@
 	if r.inactive() {
 		return r.pollStandby(ctx)
 	}
-	if !r.loaded {
+	if !r.loaded || r.restoreEnded(r.options.Now()) {
 		return r.load(ctx)
 	}
 	changes, revision, err := r.watch(ctx)
@@ -244,6 +254,9 @@
 	if r.moveInProgress() {
 		wait = moveWatchTimeout
 	}
+	if r.restoredUntil != 0 {
+		wait = min(wait, max(minWatchTimeout, r.restoredUntil-now))
+	}
 	for _, s := range r.entries {
 		if s.expiresAt != 0 {
 			wait = min(wait, max(minWatchTimeout, s.expiresAt-now))
@@ -270,11 +283,14 @@
 		return err //nolint:wrapcheck // It is a refusal of the store.
 	}
 	now := r.options.Now()
+	r.checkRestore(now, revision)
+	r.listing = r.restoredUntil != 0
 	seen := make(map[string]bool, len(list))
 	for _, e := range list {
 		seen[e.Key] = true
 		r.apply(now, e)
 	}
+	r.listing = false
 	for key := range r.entries {
 		if !seen[key] {
 			r.handleDeletion(now, key)
--- a/io/registry/registry_test.go
+++ b/io/registry/registry_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"maps"
+	"strconv"
 	"strings"
 
 	"github.com/pkg/errors"
@@ -40,17 +42,24 @@
 	writes      int
 }
 
-// decode decodes "upstream SERVICE", "config", "order VERSION", "report TEXT" and "out ZONE".
+// decode decodes "upstream SERVICE", "upstream SERVICE draining", "config VERSION", "order VERSION", "report TEXT" and
+// "out ZONE". A configuration without a version has the store's revision as its version.
 func decode(e store.Entry, now clock.Milli) (registry.Record, error) {
 	kind, rest, _ := strings.Cut(e.Value, " ")
+	rest, draining := strings.CutSuffix(rest, " draining")
 	switch kind {
 	case "upstream":
 		return registry.Record{Kind: registry.Upstream, Upstream: &catalog.Upstream{
-			ID: e.Key, Service: rest, Zone: "a", Slots: 1, Seen: now,
+			ID: e.Key, Service: rest, Zone: "a", Slots: 1, Seen: now, Draining: draining,
 		}}, nil
 	case "config":
+		version, err := strconv.ParseInt(rest, 10, 64)
+		if err != nil {
+			version = e.Revision
+		}
+
 		return registry.Record{
-			Kind: registry.Config, Config: catalog.NewConfig(e.Revision, e.Revision, nil, nil, catalog.Limits{}),
+			Kind: registry.Config, Config: catalog.NewConfig(version, e.Revision, nil, nil, catalog.Limits{}),
 		}, nil
 	case "order":
 		return registry.Record{Kind: registry.Order, Order: rollout.Order{
@@ -89,11 +98,14 @@
 
 			return list(prefix)
 		},
-		Watch: func(_ context.Context, _ string, _ int64, wait clock.Milli) ([]store.Entry, int64, error) {
+		Watch: func(_ context.Context, _ string, after int64, wait clock.Milli) ([]store.Entry, int64, error) {
 			r.watchTimeout = wait
 			if r.storeErr != nil {
 				return nil, 0, r.storeErr
 			}
+			if store.Generation(after) != store.Generation(r.revision) {
+				return nil, 0, reason.NewRefusal(reason.Compacted, reason.NotExecuted, "came back from a copy")
+			}
 			events := r.pending
 			r.pending = nil
 
@@ -156,6 +168,23 @@
 	r.pending = append(r.pending, store.Entry{Key: key, Revision: r.revision, Deleted: true})
 }
 
+// copyStore returns a function that brings the store back to what it holds now, in another generation.
+func (r *harness) copyStore() (restore func()) {
+	entries, revision := maps.Clone(r.entries), r.revision
+	generation := store.Generation(r.revision)
+
+	return func() {
+		generation++
+		renumbered := func(revision int64) int64 { return store.NewRevision(generation, store.Number(revision)) }
+		r.revision, r.pending = renumbered(revision), nil
+		clear(r.entries)
+		for key, e := range entries {
+			e.Revision = renumbered(e.Revision)
+			r.entries[key] = e
+		}
+	}
+}
+
 // advance moves the clock forward and runs one iteration of the control loop.
 func (r *harness) advance(span clock.Milli) {
 	r.now += span
--- /dev/null
+++ b/io/registry/restore_test.go
@@ -0,0 +1,116 @@
+package registry_test
+
+import (
+	"jacinthferry/core/clock"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+// writeAgainAfter is when the owners of lost entries have written them again.
+const writeAgainAfter = clock.Second
+
+var _ = Describe("A registry whose store comes back from a copy", func() {
+	var r *harness
+	usable := func() int { return len(r.View().Usable("s")) }
+	BeforeEach(func() {
+		r = newHarness(self)
+		r.put("c", "config 1")
+		r.put("u1", "upstream s")
+		r.put("u2", "upstream s")
+		r.advance(0)
+	})
+	// afterRestore brings the store back and lets the registry notice.
+	afterRestore := func(restore func()) {
+		restore()
+		r.advance(writeAgainAfter / 2)
+		r.advance(writeAgainAfter / 2)
+	}
+
+	It("takes over the changes after it, although their revisions were given out before", func() {
+		restore := r.copyStore()
+		for range 20 {
+			r.put("other", "report x")
+		}
+		r.put("c", "config 2")
+		r.advance(1000)
+		afterRestore(restore)
+		r.put("c", "config 3")
+		r.advance(1000)
+		Expect(r.View().Config.Version).To(BeEquivalentTo(3))
+	})
+
+	It("never goes back to an earlier configuration", func() {
+		restore := r.copyStore()
+		r.put("c", "config 2")
+		r.advance(1000)
+		afterRestore(restore)
+		Expect(r.View().Config.Version).To(BeEquivalentTo(2))
+		r.advance(clock.Minute)
+		Expect(r.View().Config.Version).To(BeEquivalentTo(2))
+	})
+
+	It("gives no requests to an upstream that the copy does not know to be draining or gone, until it writes again", func() {
+		restore := r.copyStore()
+		r.put("u1", "upstream s draining")
+		r.remove("u2")
+		r.advance(1000)
+		Expect(usable()).To(BeZero())
+		afterRestore(restore)
+		Expect(usable()).To(BeZero())
+		r.put("u2", "upstream s")
+		r.advance(100)
+		Expect(usable()).To(Equal(1))
+	})
+
+	It("believes the store once the owners have had time to write again", func() {
+		restore := r.copyStore()
+		r.put("u1", "upstream s draining")
+		r.remove("u2")
+		r.advance(1000)
+		afterRestore(restore)
+		r.advance(2000)
+		r.advance(1000)
+		Expect(usable()).To(Equal(2))
+	})
+
+	It("keeps upstreams and daemons that the copy lacks, until their owners had time to write them again", func() {
+		restore := r.copyStore()
+		r.put("u3", "upstream s")
+		r.member("other", "a", 0.4)
+		r.member("self", "a", 0.4)
+		r.advance(1000)
+		Expect(usable()).To(Equal(3))
+		afterRestore(restore)
+		Expect(usable()).To(Equal(3))
+		Expect(r.State().Members).To(HaveLen(2))
+		r.advance(2000)
+		r.advance(1000)
+		Expect(usable()).To(Equal(2))
+		Expect(r.State().Members).To(BeEmpty())
+	})
+
+	It("keeps an availability zone out of service that the copy does not have out", func() {
+		restore := r.copyStore()
+		r.put("z", "out a")
+		r.advance(1000)
+		Expect(usable()).To(BeZero())
+		afterRestore(restore)
+		Expect(usable()).To(BeZero())
+		r.put("z", "out a")
+		for range 5 {
+			r.advance(1000)
+			Expect(usable()).To(BeZero())
+		}
+	})
+
+	It("publishes again the crashes of upstreams that the copy lacks", func() {
+		restore := r.copyStore()
+		r.PublishCrash(crashWarning)
+		r.advance(1000)
+		Expect(r.entries).To(HaveKey(crashKey))
+		afterRestore(restore)
+		r.advance(1000)
+		Expect(r.entries).To(HaveKey(crashKey))
+	})
+})
--- a/io/store/port.go
+++ b/io/store/port.go
@@ -18,7 +18,7 @@
 type Entry struct {
 	Key   string
 	Value string
-	// Revision is the store revision of the last write to the key.
+	// Revision is the store revision of the last write to the key; see NewRevision.
 	Revision int64
 	// Deleted is set in the result of a watch for a key that was deleted.
 	Deleted bool
--- a/standin/platform/store_test.go
+++ b/standin/platform/store_test.go
@@ -53,6 +53,33 @@
 		Expect(refusalOf(err)).To(Equal(reason.Refusal{Reason: reason.Size, Run: reason.NotExecuted}))
 	})
 
+	It("gives out numbers again after it came back from a copy, which clients tell from the earlier ones", func(ctx SpecContext) {
+		copied := standIn.Copy()
+		lost, err := client.Grant(ctx, 300*clock.Millisecond)
+		Expect(err).NotTo(HaveOccurred())
+		old, err := client.Put(ctx, "a", "1", store.Any, "")
+		Expect(err).NotTo(HaveOccurred())
+		standIn.Restore(copied)
+		_, _, err = client.Watch(ctx, "", old.Revision, clock.Second)
+		Expect(refusalOf(err)).To(Equal(reason.Refusal{Reason: reason.Compacted, Run: reason.NotExecuted}))
+		other, err := client.Grant(ctx, 300*clock.Millisecond)
+		Expect(err).NotTo(HaveOccurred())
+		Expect([]string{lost.ID, other.ID}).To(Equal([]string{"0/1", "1/1"}))
+		again, err := client.Put(ctx, "a", "2", store.Any, other.ID)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(store.Number(again.Revision)).To(Equal(store.Number(old.Revision)))
+		Expect(again.Revision).To(BeNumerically(">", old.Revision))
+		// Nothing that refers to the lost writes has an effect.
+		Expect(client.Renew(ctx, lost.ID)).To(HaveField("Live", false))
+		Expect(client.Revoke(ctx, lost.ID)).To(Succeed())
+		_, err = client.Put(ctx, "b", "1", store.Any, lost.ID)
+		Expect(refusalOf(err)).To(Equal(reason.Refusal{Reason: reason.Lapsed, Run: reason.NotExecuted}))
+		done, err := client.Put(ctx, "a", "3", old.Revision, "")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(done.Applied).To(BeFalse())
+		Expect(done.Current).To(HaveField("Value", "2"))
+	})
+
 	It("deletes the keys of a lease when it expires, and notifies a watch", func(ctx SpecContext) {
 		lease, err := client.Grant(ctx, 200*clock.Millisecond)
 		Expect(err).NotTo(HaveOccurred())
