Keep version moves where they are when the store comes back from a copy

A copy of the store may hold an earlier stage of a version move, or none, and the operators' order has another revision afterwards, by which the daemons tell orders apart: a move that was taken back or completed would have begun anew, with requests to a bad version or to upstreams that were stopped.

A move now never goes back to an earlier stage of the same order, goes on under the order's new revision if the order is the same, and its stage and report are written again where the store lost them.

Two specs of io/registry failed before; they fail again without the new revision, and without the second write (tried).

--- a/core/catalog/rollout.go
+++ b/core/catalog/rollout.go
@@ -18,6 +18,11 @@
 // Final reports whether no other stage follows s.
 func (s Stage) Final() bool { return s == Completed || s == RolledBack }
 
+// Precedes reports whether a rollout comes through s before other.
+func (s Stage) Precedes(other Stage) bool {
+	return s != other && (s == Canary || (s == Shifted && other.Final()))
+}
+
 // Rollout is the rollout of a new version of a service: the requests move there from the versions that run.
 type Rollout struct {
 	// Version is the new version.
--- a/core/rollout/rollout.go
+++ b/core/rollout/rollout.go
@@ -24,6 +24,15 @@
 	Seen clock.Milli
 }
 
+// Precedes reports whether p comes before other: it belongs to an earlier order, or to the same order at an earlier stage.
+func (p Progress) Precedes(other Progress) bool {
+	if p.Rollout.OrderRevision != other.Rollout.OrderRevision {
+		return p.Rollout.OrderRevision < other.Rollout.OrderRevision
+	}
+
+	return p.Rollout.Stage.Precedes(other.Rollout.Stage)
+}
+
 const (
 	// canaryFraction is the part of a rollout's time during which the new version gets a small share of
 	// the requests, and minPostCanary the least time that is left for the rest of the rollout.
--- a/io/registry/entries.go
+++ b/io/registry/entries.go
@@ -54,7 +54,17 @@
 func (r *Registry) handleDeletion(now clock.Milli, key string) bool {
 	s := r.entries[key]
 	switch s.record.Kind {
-	case Config, Order, Progress, Report:
+	case Config, Order:
+		return false
+	case Progress:
+		s.revision, s.assumed = store.Absent, true
+		r.entries[key] = s
+
+		return false
+	case Report:
+		// It is written again.
+		delete(r.entries, key)
+
 		return false
 	case Upstream, Daemon, ZoneOut:
 		// An operator may bring a zone back while the store is in trouble, but only a restore makes it forget one.
--- a/io/registry/moves.go
+++ b/io/registry/moves.go
@@ -90,6 +90,12 @@
 	move := r.currentMove(o)
 	verdict := r.judge(o.Service, move)
 	next, changed := rollout.Next(now, o, stored.record.Progress, verdict)
+	if !changed && stored.assumed {
+		// The store lost the stage.
+		if err := r.writeMove(ctx, now, o.Service, next.Rollout, stored.revision); err != nil {
+			return err
+		}
+	}
 	if !changed {
 		if err := r.shareResults(ctx, now, o.Service, move); err != nil {
 			return err
@@ -111,6 +117,19 @@
 	return r.writeReport(ctx, now, o.Service, next.Rollout)
 }
 
+// writeMove writes the stage of a version move over the revision that the store has, unless another daemon did.
+func (r *Registry) writeMove(
+	ctx context.Context, now clock.Milli, service string, m catalog.Rollout, expect int64,
+) error {
+	text, err := encodeMove(m)
+	if err != nil {
+		return err
+	}
+	_, err = r.compareAndSwap(ctx, now, moveKey(service), text, expect, "")
+
+	return err
+}
+
 // recordStep records an event for a step of a version move, and why the move is rolled back if it is.
 func (r *Registry) recordStep(o rollout.Order, stage catalog.Stage, verdict rollout.Verdict) {
 	kind, detail := event.Move, string(stage)
--- a/io/registry/registry.go
+++ b/io/registry/registry.go
@@ -131,7 +131,7 @@
 func New(options Options) *Registry {
 	return &Registry{
 		options: options, entries: make(map[string]storedRecord), removed: make(map[string]removedUpstream),
-		analyzer: rollout.NewAnalyzer(),
+		analyzer:    rollout.NewAnalyzer(),
 		resultsSent: make(map[string]clock.Milli), inherited: make(map[string]results), started: options.Now(),
 		wake: make(chan struct{}, 1),
 	}
@@ -221,6 +221,7 @@
 	r.watchRevision = max(r.watchRevision, revision)
 	r.lastContact.Store(int64(now))
 	if changed {
+		r.adoptMoves()
 		r.publish(now)
 	}
 
@@ -291,6 +292,7 @@
 		r.apply(now, e)
 	}
 	r.listing = false
+	r.adoptMoves()
 	for key := range r.entries {
 		if !seen[key] {
 			r.handleDeletion(now, key)
--- a/io/registry/restore.go
+++ b/io/registry/restore.go
@@ -8,6 +8,7 @@
 	"jacinthferry/core/clock"
 	"jacinthferry/core/event"
 	"jacinthferry/core/reason"
+	"jacinthferry/core/rollout"
 	"jacinthferry/io/store"
 )
 
@@ -61,18 +62,62 @@
 )
 
 // reconcile returns the record that replaces old when the store holds record, and whether that is the store's.
-// A configuration never goes back to an earlier version. What a list tells shortly after the store came back from a
-// copy may be older than what is known: draining upstreams keep draining, and removed ones stay away.
+// A configuration never goes back to an earlier version, nor a version move to an earlier stage. What a list tells
+// shortly after the store came back from a copy may be older than what is known: draining upstreams keep draining,
+// removed ones stay away, and orders of version moves stay as they are.
 func (r *Registry) reconcile(old, record Record, e store.Entry) (Record, verdict) {
-	if record.Kind == Config && old.Kind == Config && record.Config.Version < old.Config.Version {
-		r.recordEvent(event.Event{
-			Kind: event.Revision, Reason: reason.Stale, Revision: uint64(e.Revision),
-			Detail: fmt.Sprintf("passed over configuration %d, %d is in force", record.Config.Version, old.Config.Version),
-		})
+	if record.Kind != old.Kind && record.Kind != Upstream {
+		return record, believe
+	}
+	switch record.Kind {
+	case Config:
+		return r.reconcileConfig(old, record, e)
+	case Progress:
+		if record.Progress.Precedes(old.Progress) {
+			return old, assume
+		}
+	case Order:
+		return r.reconcileOrder(old, record)
+	case Upstream:
+		return r.reconcileUpstream(old, record, e)
+	default:
+	}
+
+	return record, believe
+}
 
-		return old, believe
+func (r *Registry) reconcileConfig(old, record Record, e store.Entry) (Record, verdict) {
+	if record.Config.Version >= old.Config.Version {
+		return record, believe
 	}
-	if !r.listing || record.Kind != Upstream {
+	r.recordEvent(event.Event{
+		Kind: event.Revision, Reason: reason.Stale, Revision: uint64(e.Revision),
+		Detail: fmt.Sprintf("passed over configuration %d, %d is in force", record.Config.Version, old.Config.Version),
+	})
+
+	return old, believe
+}
+
+// reconcileOrder keeps an order that differs from the one in the copy. One that is written again with the same content is
+// the same order, which began when it was first seen.
+func (r *Registry) reconcileOrder(old, record Record) (Record, verdict) {
+	before, after := old.Order, record.Order
+	same := before.Version == after.Version && before.MaxDuration == after.MaxDuration
+	if r.listing && !same {
+		return old, assume
+	}
+	if same && (r.restoredUntil != 0 || store.Generation(before.Revision) < store.Generation(after.Revision)) {
+		record.Order.Seen = before.Seen
+		if r.entries[moveKey(after.Service)].record.Progress.Rollout.OrderRevision == before.Revision {
+			r.adoptMove(after)
+		}
+	}
+
+	return record, believe
+}
+
+func (r *Registry) reconcileUpstream(old, record Record, e store.Entry) (Record, verdict) {
+	if !r.listing {
 		return record, believe
 	}
 	u := record.Upstream
@@ -90,6 +135,29 @@
 	return record, believe
 }
 
+// adoptMoves lets the version moves that began in an earlier generation go on under the revisions that their orders have
+// now.
+func (r *Registry) adoptMoves() {
+	for _, s := range r.entries {
+		if s.record.Kind != Order {
+			continue
+		}
+		o := s.record.Order
+		move := r.entries[moveKey(o.Service)].record.Progress.Rollout
+		if move.Version == o.Version && store.Generation(move.OrderRevision) < store.Generation(o.Revision) {
+			r.adoptMove(o)
+		}
+	}
+}
+
+// adoptMove lets a version move go on under the revision of an order.
+func (r *Registry) adoptMove(o rollout.Order) {
+	key := moveKey(o.Service)
+	move := r.entries[key]
+	move.record.Progress.Rollout.OrderRevision, move.assumed = o.Revision, true
+	r.entries[key] = move
+}
+
 // rememberRemoval remembers an upstream that is removed, and forgets those removed long ago.
 func (r *Registry) rememberRemoval(now clock.Milli, key string, u *catalog.Upstream) {
 	maps.DeleteFunc(r.removed, func(_ string, removed removedUpstream) bool { return now-removed.at > removalMemory })
--- a/io/registry/restore_test.go
+++ b/io/registry/restore_test.go
@@ -1,6 +1,7 @@
 package registry_test
 
 import (
+	"jacinthferry/core/catalog"
 	"jacinthferry/core/clock"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -104,6 +105,52 @@
 		}
 	})
 
+	It("brings a version move no step back, and writes it and its report again", func() {
+		r.put("order", "order v2")
+		r.advance(1000)
+		ordered := r.copyStore()
+		stage := func() catalog.Stage {
+			m, _ := r.View().Rollout("s")
+
+			return m.Stage
+		}
+		Expect(stage()).To(Equal(catalog.Canary))
+		r.results = badCounts
+		r.advance(1000)
+		r.results = nil
+		Expect(stage()).To(Equal(catalog.RolledBack))
+		afterRestore(ordered)
+		Expect(stage()).To(Equal(catalog.RolledBack))
+		r.put("order", "order v2")
+		for range 10 {
+			r.advance(1000)
+			Expect(stage()).To(Equal(catalog.RolledBack))
+		}
+		Expect(r.entries["report/s"].Value).To(Equal("report back"))
+		Expect(r.entries["jacinthferry/moves/s"].Value).To(ContainSubstring("back"))
+		// The next order of the same version begins anew.
+		r.put("order", "order v2")
+		r.advance(1000)
+		r.advance(1000)
+		Expect(stage()).To(Equal(catalog.Canary))
+	})
+
+	It("writes a version move again that the copy lacks", func() {
+		restore := r.copyStore()
+		r.put("order", "order v2")
+		r.advance(1000)
+		r.results = badCounts
+		r.advance(1000)
+		r.results = nil
+		afterRestore(restore)
+		Expect(r.entries["report/s"].Value).To(Equal("report back"))
+		Expect(r.entries["jacinthferry/moves/s"].Value).To(ContainSubstring("back"))
+		r.put("order", "order v2")
+		r.advance(1000)
+		m, _ := r.View().Rollout("s")
+		Expect(m.Stage).To(Equal(catalog.RolledBack))
+	})
+
 	It("publishes again the crashes of upstreams that the copy lacks", func() {
 		restore := r.copyStore()
 		r.PublishCrash(crashWarning)
