Send nothing more to an upstream whose answer says that it is leaving

New in the users' protocol: an upstream that leaves says so in all its answers, so that a daemon that has lost the store learns it too. From the first such answer on, a daemon sends nothing more to that process, for itself or for other daemons; a shard all of whose upstreams leave counts as one without upstreams.

--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -93,12 +93,16 @@
 	// OnLimit is called when an upstream names another rate limit, or no longer names one, which is nil. It may be
 	// nil.
 	OnLimit func(u *catalog.Upstream, limit *RateLimit)
+	// OnLeaving is called when an upstream first says that it is leaving. It may be nil.
+	OnLeaving func(u *catalog.Upstream)
 }
 
 // Balancer chooses upstreams by what one daemon has observed of them. It is not safe for concurrent use.
 type Balancer struct {
 	rules  Options
 	states map[catalog.Key]*state
+	// leaving holds when upstreams said that they are leaving.
+	leaving map[catalog.Key]clock.Milli
 }
 
 // New returns a balancer that has observed nothing yet.
@@ -107,7 +111,9 @@
 		rules.Uniform = rand.Float64
 	}
 
-	return &Balancer{rules: rules, states: make(map[catalog.Key]*state)}
+	return &Balancer{
+		rules: rules, states: make(map[catalog.Key]*state), leaving: make(map[catalog.Key]clock.Milli),
+	}
 }
 
 // Choose returns the upstream of list with the lowest cost for which excluded returns false, or nil if
@@ -260,6 +266,7 @@
 // Prune removes the state of upstreams that have not been heard of for stateTTL, have no request in flight and may
 // get requests.
 func (b *Balancer) Prune(now clock.Milli) {
+	b.pruneLeaving(now)
 	for k, s := range b.states {
 		if len(s.inFlight) == 0 && now-s.updated > stateTTL && now >= s.blockedUntil {
 			delete(b.states, k)
--- a/core/gather/coordinator.go
+++ b/core/gather/coordinator.go
@@ -256,6 +256,8 @@
 	Load *balance.Load
 	// Limit is the rate limit that the upstream named, or nil.
 	Limit *balance.RateLimit
+	// Leaving is set if the upstream said that it is leaving.
+	Leaving bool
 	// MergeDelay is how long another daemon held the answer back to merge it with others.
 	MergeDelay clock.Milli
 }
--- a/core/gather/legs.go
+++ b/core/gather/legs.go
@@ -15,7 +15,7 @@
 	if s.covered || s.dropped || s.inFlight > 0 {
 		return
 	}
-	if now >= q.answerDeadline() || q.exhausted(i) || len(q.view.Usable(s.service.Name)) == 0 {
+	if now >= q.answerDeadline() || q.exhausted(i) || len(q.usable(s.service.Name)) == 0 {
 		q.drop(i)
 
 		return
@@ -38,10 +38,20 @@
 	q.send(now, i, u, s.failReason)
 }
 
+// usable returns the upstreams of a service that take requests, without those that said that they are leaving.
+func (q *Query) usable(service string) []*catalog.Upstream {
+	return q.coordinator.balancer.Remaining(q.view.Usable(service))
+}
+
+// canaries returns the same of those of the version on trial.
+func (q *Query) canaries(service string) []*catalog.Upstream {
+	return q.coordinator.balancer.Remaining(q.view.Canaries(service))
+}
+
 // waitForRoom returns how long the rate limits of all upstreams of a shard leave no room for another leg.
 func (q *Query) waitForRoom(now clock.Milli, i int) clock.Milli {
 	shortest := never
-	for _, u := range q.view.Usable(q.shards[i].service.Name) {
+	for _, u := range q.usable(q.shards[i].service.Name) {
 		shortest = min(shortest, q.coordinator.balancer.LimitWait(now, u))
 	}
 
@@ -113,13 +123,13 @@
 	s.useCanary = false
 	none := func(*catalog.Upstream) bool { return false }
 
-	return q.coordinator.balancer.Choose(now, s.service, q.view.Canaries(s.service.Name), none)
+	return q.coordinator.balancer.Choose(now, s.service, q.canaries(s.service.Name), none)
 }
 
 func (q *Query) chooseExcept(now clock.Milli, i int, excluded func(*catalog.Upstream) bool) *catalog.Upstream {
 	s := &q.shards[i]
 
-	return q.coordinator.balancer.Choose(now, s.service, q.view.Usable(s.service.Name), excluded)
+	return q.coordinator.balancer.Choose(now, s.service, q.usable(s.service.Name), excluded)
 }
 
 // inFlightAt reports whether the upstream has a leg of the shard in flight.
--- a/core/gather/outcome.go
+++ b/core/gather/outcome.go
@@ -29,7 +29,7 @@
 // refuseUnavailable refuses a request, before any leg is sent, if too few shards have an upstream.
 func (q *Query) refuseUnavailable(now clock.Milli) bool {
 	for i := range q.shards {
-		if len(q.view.Usable(q.shards[i].service.Name)) == 0 {
+		if len(q.usable(q.shards[i].service.Name)) == 0 {
 			q.drop(i)
 		}
 	}
@@ -78,7 +78,7 @@
 func (q *Query) servicesWithoutUpstream() []string {
 	var names []string
 	for i := range q.shards {
-		if name := q.shards[i].service.Name; len(q.view.Usable(name)) == 0 {
+		if name := q.shards[i].service.Name; len(q.usable(name)) == 0 {
 			names = append(names, name)
 		}
 	}
--- a/core/gather/overload.go
+++ b/core/gather/overload.go
@@ -135,7 +135,7 @@
 // estimateShard returns the estimate of the upstream of a shard that is expected to answer first.
 func (q *Query) estimateShard(now clock.Milli, i int) estimate {
 	best := estimate{shard: i, wait: never, limited: true}
-	for _, u := range q.view.Usable(q.shards[i].service.Name) {
+	for _, u := range q.usable(q.shards[i].service.Name) {
 		e := estimate{
 			shard: i, wait: q.coordinator.balancer.ExpectedWait(now, u), work: q.coordinator.balancer.ServiceTime(now, u),
 		}
--- a/core/gather/query.go
+++ b/core/gather/query.go
@@ -232,6 +232,9 @@
 	if result.OK || result.Limit != nil {
 		balancer.HandleLimit(now, sent, u, result.Limit)
 	}
+	if result.Leaving {
+		balancer.HandleLeaving(now, u)
+	}
 }
 
 // countForRollout counts the result of a leg that an upstream may have run, if its service moves to
--- a/io/gateway/crash.go
+++ b/io/gateway/crash.go
@@ -39,14 +39,6 @@
 	return false
 }
 
-// inQuarantine reports whether the call with the fingerprint p is in quarantine as a whole.
-func (g *Gateway) inQuarantine(p quarantine.Fingerprint) bool {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-
-	return g.crashes.Quarantined(g.options.Now(), p)
-}
-
 // MergeWarning merges what another daemon knows of a request that crashes upstreams.
 func (g *Gateway) MergeWarning(w quarantine.Warning) {
 	g.mu.Lock()
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -67,6 +67,12 @@
 	balancer := balance.New(balance.Options{
 		Zone: options.Zone, Daemons: options.DaemonCount, Uniform: rand.Float64,
 		OnLimit: func(u *catalog.Upstream, limit *balance.RateLimit) { options.Record(limitEvent(u, limit)) },
+		OnLeaving: func(u *catalog.Upstream) {
+			options.Record(event.Event{
+				Kind: event.Upstream, Reason: reason.Draining, Service: u.Service, Upstream: u.ID,
+				Detail: "said that it is leaving",
+			})
+		},
 	})
 
 	memory := newResponseMemory(options.ResponseMemory)
--- a/io/gateway/relay.go
+++ b/io/gateway/relay.go
@@ -160,18 +160,32 @@
 	return view.Find(u.Key())
 }
 
+// refuseRelayLeg returns why a leg for another daemon is not sent to u, which is nil if that upstream takes no new
+// requests, or reports that it may be sent.
+func (g *Gateway) refuseRelayLeg(s *sender, u *catalog.Upstream) (gather.Result, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.options.Now()
+	refused := gather.Result{Run: reason.NotExecuted}
+	switch {
+	case g.crashes.Quarantined(now, s.fingerprint):
+		refused.Reason = reason.Quarantine
+	case u == nil:
+		refused.Reason = reason.Draining
+	case g.balancer.Leaving(u):
+		refused.Reason, refused.Leaving = reason.Draining, true
+	default:
+		return refused, true
+	}
+
+	return refused, false
+}
+
 // sendRelayLeg sends one leg for another daemon.
 func (g *Gateway) sendRelayLeg(s *sender, number int, leg *RelayLeg) relayedLeg {
-	if g.inQuarantine(s.fingerprint) {
-		return relayedLeg{
-			leg: RelayResult{Number: leg.Number, Result: gather.Result{Run: reason.NotExecuted, Reason: reason.Quarantine}},
-		}
-	}
 	u := g.resolve(&leg.Upstream)
-	if u == nil {
-		return relayedLeg{
-			leg: RelayResult{Number: leg.Number, Result: gather.Result{Run: reason.NotExecuted, Reason: reason.Draining}},
-		}
+	if refused, ok := g.refuseRelayLeg(s, u); !ok {
+		return relayedLeg{leg: RelayResult{Number: leg.Number, Result: refused}}
 	}
 	sent := g.options.Now()
 	deadline := sent + leg.Timeout
--- a/io/gateway/sender.go
+++ b/io/gateway/sender.go
@@ -188,11 +188,15 @@
 
 // handleResponse returns the result of a leg that got a response, and records one that is not good.
 func (s *sender) handleResponse(u *catalog.Upstream, reply *UpstreamResponse) gather.Result {
-	result := gather.Result{Sent: true, Run: reason.Executed, Load: reply.Load, Limit: reply.Limit, Reason: reason.Failed}
+	result := gather.Result{
+		Sent: true, Run: reason.Executed, Load: reply.Load, Limit: reply.Limit, Leaving: reply.Leaving,
+		Reason: reason.Failed,
+	}
 	switch {
 	case reply.NotRun && reply.Misdirected:
 		// Another process answered.
 		result.Run, result.Reason, result.Limit = reason.NotExecuted, reason.Incarnation, nil
+		result.Leaving = false
 	case reply.NotRun:
 		result.Run, result.Reason = reason.NotExecuted, reason.Overload
 	case reply.Stamp == "":
--- a/io/registry/restore.go
+++ b/io/registry/restore.go
@@ -98,8 +98,8 @@
 	return old, believe
 }
 
-// reconcileOrder keeps an order that differs from the one in the copy. One that is written again with the same content is
-// the same order, which began when it was first seen.
+// reconcileOrder keeps an order that differs from the one in the copy. One that is written again with the same content
+// is the same order, which began when it was first seen.
 func (r *Registry) reconcileOrder(old, record Record) (Record, verdict) {
 	before, after := old.Order, record.Order
 	same := before.Version == after.Version && before.MaxDuration == after.MaxDuration
@@ -135,8 +135,8 @@
 	return record, believe
 }
 
-// adoptMoves lets the version moves that began in an earlier generation go on under the revisions that their orders have
-// now.
+// adoptMoves lets the version moves that began in an earlier generation go on under the revisions that their orders
+// have now.
 func (r *Registry) adoptMoves() {
 	for _, s := range r.entries {
 		if s.record.Kind != Order {
--- a/io/relay/wire.go
+++ b/io/relay/wire.go
@@ -1,6 +1,8 @@
 package relay
 
 import (
+	"slices"
+
 	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
 
@@ -90,7 +92,9 @@
 	Results []legResult `cbor:"parts"`
 	// Limits are the rate limits that upstreams named, by the number of the leg.
 	Limits map[int]float64 `cbor:"limits,omitempty"`
-	Body   []byte          `cbor:"body,omitempty"`
+	// Leaving are the numbers of the legs whose upstreams said that they are leaving.
+	Leaving []int  `cbor:"leaving,omitempty"`
+	Body    []byte `cbor:"body,omitempty"`
 }
 
 // legResult is encoded as an array to save space, as a response has many.
@@ -164,6 +168,9 @@
 			}
 			out.Limits[p.Number] = float64(*r.Limit)
 		}
+		if r.Leaving {
+			out.Leaving = append(out.Leaving, p.Number)
+		}
 		out.Results = append(out.Results, l)
 	}
 
@@ -187,6 +194,7 @@
 			rate := balance.RateLimit(limit)
 			p.Result.Limit = &rate
 		}
+		p.Result.Leaving = slices.Contains(r.Leaving, l.Number)
 		out.Results = append(out.Results, p)
 	}
 
