Keep to the pause that an upstream asks for when it turns a request away

New in the users' protocol: an answer with status 503 may say for how long the upstream wants nothing from this daemon. The daemon sends it nothing until then, for itself or for other daemons, and refuses at once what nobody else can serve, with the time that is left.

--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -71,6 +71,8 @@
 	refilled  clock.Milli
 	// blockedUntil is until when the upstream gets no request.
 	blockedUntil clock.Milli
+	// pausedUntil is until when the upstream wants no request.
+	pausedUntil clock.Milli
 	// limit is the rate limit that the upstream named, if limited is set, and limitSent when the request was sent
 	// whose answer told so.
 	limited   bool
@@ -268,7 +270,7 @@
 func (b *Balancer) Prune(now clock.Milli) {
 	b.pruneLeaving(now)
 	for k, s := range b.states {
-		if len(s.inFlight) == 0 && now-s.updated > stateTTL && now >= s.blockedUntil {
+		if len(s.inFlight) == 0 && now-s.updated > stateTTL && now >= max(s.blockedUntil, s.pausedUntil) {
 			delete(b.states, k)
 		}
 	}
--- a/core/balance/limit.go
+++ b/core/balance/limit.go
@@ -14,6 +14,8 @@
 	minRate RateLimit = 0.25
 	// limitBurstSpan is the time whose requests may be sent at once after a quieter time.
 	limitBurstSpan = clock.Second
+	// maxPause is the longest pause that an upstream may ask for.
+	maxPause = clock.Hour
 )
 
 // HandleLimit records that the answer to a request sent at an instant named a rate limit, or none if limit is nil. The
@@ -34,16 +36,36 @@
 	}
 }
 
-// LimitWait returns how long it takes until the rate limit of an upstream leaves room for one more request of this
-// daemon, or 0 if there is room.
+// Pause records that an upstream wants no request of this daemon until an instant.
+func (b *Balancer) Pause(now, until clock.Milli, u *catalog.Upstream) {
+	s := b.state(now, u)
+	s.pausedUntil = max(s.pausedUntil, min(until, now+maxPause))
+}
+
+// PauseLeft returns how much longer an upstream wants no request of this daemon.
+func (b *Balancer) PauseLeft(now clock.Milli, u *catalog.Upstream) clock.Milli {
+	s := b.states[u.Key()]
+	if s == nil {
+		return 0
+	}
+
+	return max(0, s.pausedUntil-now)
+}
+
+// LimitWait returns how long it takes until the rate limit of an upstream, and a pause that it asked for, leave room
+// for one more request of this daemon, or 0 if there is room.
 func (b *Balancer) LimitWait(now clock.Milli, u *catalog.Upstream) clock.Milli {
 	s := b.states[u.Key()]
-	if s == nil || !s.limited {
+	if s == nil {
 		return 0
 	}
+	pause := b.PauseLeft(now, u)
+	if !s.limited {
+		return pause
+	}
 	b.refillLimit(now, s)
 
-	return max(0, clock.Milli((1-s.limitTokens)/b.limitShare(s))*clock.Second)
+	return max(pause, clock.Milli((1-s.limitTokens)/b.limitShare(s))*clock.Second)
 }
 
 // Spare reports whether requests that can be done without may be sent to an upstream: its rate limit, if it has one,
--- a/core/gather/query.go
+++ b/core/gather/query.go
@@ -235,6 +235,9 @@
 	if result.Leaving {
 		balancer.HandleLeaving(now, u)
 	}
+	if result.Pause > 0 {
+		balancer.Pause(now, now+result.Pause, u)
+	}
 }
 
 // countForRollout counts the result of a leg that an upstream may have run, if its service moves to
--- a/core/rollout/rollout.go
+++ b/core/rollout/rollout.go
@@ -24,7 +24,8 @@
 	Seen clock.Milli
 }
 
-// Precedes reports whether p comes before other: it belongs to an earlier order, or to the same order at an earlier stage.
+// Precedes reports whether p comes before other: it belongs to an earlier order, or to an earlier stage of the same
+// order.
 func (p Progress) Precedes(other Progress) bool {
 	if p.Rollout.OrderRevision != other.Rollout.OrderRevision {
 		return p.Rollout.OrderRevision < other.Rollout.OrderRevision
--- a/io/gateway/call.go
+++ b/io/gateway/call.go
@@ -71,8 +71,10 @@
 	Load *balance.Load
 	// Limit is the rate limit that the upstream named, or nil.
 	Limit *balance.RateLimit
-	// Leaving is set if the upstream said that it is leaving.
+	// Leaving is set if the upstream said that it is leaving, and Pause is how long it wants no request of this daemon,
+	// or 0.
 	Leaving bool
+	Pause   clock.Milli
 	// Warmup is how much longer the upstream needs to warm up.
 	Warmup clock.Milli
 	// held is how many bytes of the memory for responses the body holds.
--- a/io/gateway/relay.go
+++ b/io/gateway/relay.go
@@ -174,6 +174,8 @@
 		refused.Reason = reason.Draining
 	case g.balancer.Leaving(u):
 		refused.Reason, refused.Leaving = reason.Draining, true
+	case g.balancer.PauseLeft(now, u) > 0:
+		refused.Reason, refused.Pause = reason.Overload, g.balancer.PauseLeft(now, u)
 	default:
 		return refused, true
 	}
--- a/io/gateway/sender.go
+++ b/io/gateway/sender.go
@@ -189,14 +189,14 @@
 // handleResponse returns the result of a leg that got a response, and records one that is not good.
 func (s *sender) handleResponse(u *catalog.Upstream, reply *UpstreamResponse) gather.Result {
 	result := gather.Result{
-		Sent: true, Run: reason.Executed, Load: reply.Load, Limit: reply.Limit, Leaving: reply.Leaving,
+		Sent: true, Run: reason.Executed, Load: reply.Load, Limit: reply.Limit, Leaving: reply.Leaving, Pause: reply.Pause,
 		Reason: reason.Failed,
 	}
 	switch {
 	case reply.NotRun && reply.Misdirected:
 		// Another process answered.
 		result.Run, result.Reason, result.Limit = reason.NotExecuted, reason.Incarnation, nil
-		result.Leaving = false
+		result.Leaving, result.Pause = false, 0
 	case reply.NotRun:
 		result.Run, result.Reason = reason.NotExecuted, reason.Overload
 	case reply.Stamp == "":
--- a/io/relay/relay_test.go
+++ b/io/relay/relay_test.go
@@ -130,9 +130,11 @@
 		limit := balance.RateLimit(16.5)
 		succeeded := gateway.RelayResult{Number: 3, Stamp: "s", Warmup: 40, Result: gather.Result{
 			OK: true, Sent: true, Run: reason.Executed, MergeDelay: 6, Load: &balance.Load{Running: 1, Waiting: 2, Slots: 3},
-			Limit: &limit,
+			Limit: &limit, Leaving: true,
+		}}
+		failed := gateway.RelayResult{Number: 4, Result: gather.Result{
+			Run: reason.NotExecuted, Reason: reason.Overload, Sent: true, Pause: 1500,
 		}}
-		failed := gateway.RelayResult{Number: 4, Result: gather.Result{Run: reason.NotExecuted, Reason: reason.Overload, Sent: true}}
 		relayed.send(gateway.RelayResponse{Results: []gateway.RelayResult{failed}})
 		Expect(<-responses).To(Equal(gateway.RelayResponse{Results: []gateway.RelayResult{failed}}))
 		relayed.send(gateway.RelayResponse{Results: []gateway.RelayResult{succeeded}, Body: []byte("records")})
--- a/io/relay/wire.go
+++ b/io/relay/wire.go
@@ -92,9 +92,11 @@
 	Results []legResult `cbor:"parts"`
 	// Limits are the rate limits that upstreams named, by the number of the leg.
 	Limits map[int]float64 `cbor:"limits,omitempty"`
-	// Leaving are the numbers of the legs whose upstreams said that they are leaving.
-	Leaving []int  `cbor:"leaving,omitempty"`
-	Body    []byte `cbor:"body,omitempty"`
+	// Leaving are the numbers of the legs whose upstreams said that they are leaving, and Pauses how long upstreams
+	// want no request, by the number of the leg.
+	Leaving []int               `cbor:"leaving,omitempty"`
+	Pauses  map[int]clock.Milli `cbor:"pauses,omitempty"`
+	Body    []byte              `cbor:"body,omitempty"`
 }
 
 // legResult is encoded as an array to save space, as a response has many.
@@ -171,6 +173,12 @@
 		if r.Leaving {
 			out.Leaving = append(out.Leaving, p.Number)
 		}
+		if r.Pause > 0 {
+			if out.Pauses == nil {
+				out.Pauses = make(map[int]clock.Milli)
+			}
+			out.Pauses[p.Number] = r.Pause
+		}
 		out.Results = append(out.Results, l)
 	}
 
@@ -194,7 +202,7 @@
 			rate := balance.RateLimit(limit)
 			p.Result.Limit = &rate
 		}
-		p.Result.Leaving = slices.Contains(r.Leaving, l.Number)
+		p.Result.Leaving, p.Result.Pause = slices.Contains(r.Leaving, l.Number), r.Pauses[l.Number]
 		out.Results = append(out.Results, p)
 	}
 
