--- a/io/gateway/cut_test.go
+++ b/io/gateway/cut_test.go
@@ -7,7 +7,6 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
-	"time"
 
 	"jacinthferry/core/catalog"
 	"jacinthferry/core/clock"
@@ -48,7 +47,6 @@
 				Expect(result.OK || result.Forwardable).To(BeFalse(), fmt.Sprintf("%d %q", end, c.text[:end]))
 				server.Close()
 			}
-			time.Sleep(time.Millisecond)
 		})
 	}
 })
