Refuse what may outlast a planned stop, and answer the rest before it ends

What callers saw: requests that came late in the grace period were taken and sent to upstreams, and cut without an answer at its end, also those that may run once only.

Cause: a daemon that stops took requests whatever their time. One that may run once only is refused now, as not run, if its whole time does not fit, so that its caller can go elsewhere; any other if not even its objective fits. Those that are taken end with an answer 0.1 s before the process cuts connections.

Requests from before the stop whose time is longer than the grace are still cut.

--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -47,6 +47,8 @@
 	// requests and waits for those in progress, and at exitMargin the process exits.
 	drainMargin = 1300 * clock.Millisecond
 	exitMargin  = 300 * clock.Millisecond
+	// answerMargin is how long before exitMargin the requests in progress are answered at the latest.
+	answerMargin = 100 * clock.Millisecond
 	// headerTimeout limits the time to read a request's header, and maxHeaderBytes its size. The limits
 	// that operators configure are smaller.
 	headerTimeout  = 10 * time.Second
@@ -63,8 +65,10 @@
 	gateway  *gateway.Gateway
 	idle     *socket.IdleCloser
 	leaving  atomic.Bool
-	servers  []*http.Server
-	cancel   context.CancelFunc
+	// stopAt is when a planned stop ends the requests that are in progress, or nil while none is under way.
+	stopAt  atomic.Pointer[clock.Milli]
+	servers []*http.Server
+	cancel  context.CancelFunc
 }
 
 // Start starts an entry daemon and returns once its listeners are open. Cancelling ctx stops its background
@@ -98,6 +102,13 @@
 		Codec:  platform.NewCodec(),
 		Record: e.journal.Record, Observe: e.observe, Zone: s.Zone,
 		Policy: policy(s), ResponseMemory: s.MemoryMB * responseMemoryPerMB,
+		StopAt: func() clock.Milli {
+			if at := e.stopAt.Load(); at != nil {
+				return *at
+			}
+
+			return 0
+		},
 		OnCrash: func(w quarantine.Warning) {
 			links.Warn(w)
 			e.registry.PublishCrash(w)
@@ -263,6 +274,8 @@
 func (e *Entry) Stop(ctx context.Context) {
 	started := time.Now()
 	s := e.settings.Load()
+	stopAt := e.now() + s.GracePeriod - exitMargin - answerMargin
+	e.stopAt.Store(&stopAt)
 	e.leaving.Store(true)
 	e.lease.Release(ctx)
 	klog.InfoS("left", "name", s.Name)
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -37,6 +37,9 @@
 	// takes the group. Results are passed to deliver in order of arrival, exactly one for each leg.
 	// Cancel aborts the legs that are still open. Relay may be nil.
 	Relay func(call *Call, group *gather.ZoneGroup, deliver func(RelayResponse)) (cancel func(), ok bool)
+	// StopAt returns when a planned stop ends the requests that are in progress, or 0 while none is under way. It may be
+	// nil.
+	StopAt func() clock.Milli
 	// OnCrash is called with a warning for the other daemons when an upstream has crashed while it ran a request.
 	// It may be nil.
 	OnCrash func(quarantine.Warning)
@@ -142,11 +145,15 @@
 	if call.Timeout <= 0 {
 		call.Timeout = route.Timeout
 	}
+	stopAt := g.stopAt()
+	if stopAt != 0 && !fitsBefore(stopAt, call, route) {
+		return g.refuseStopping(call, route)
+	}
 	s := newSender(g, call, route.Top)
 	if g.quarantined(call, s.fingerprint, route) {
 		return g.refuseQuarantined(s, route)
 	}
-	p := &pendingRequest{sender: s, route: route, config: view.Config, done: make(chan struct{})}
+	p := &pendingRequest{sender: s, route: route, config: view.Config, stopAt: stopAt, done: make(chan struct{})}
 	p.start(view)
 	select {
 	case <-p.done:
--- a/io/gateway/pending.go
+++ b/io/gateway/pending.go
@@ -17,6 +17,8 @@
 	*sender
 	route  *catalog.Route
 	config *catalog.Config
+	// stopAt is when a planned stop ends the request, or 0.
+	stopAt clock.Milli
 	query  *gather.Query
 	timer  *time.Timer
 	// timerAt is when the timer fires next.
@@ -37,11 +39,15 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.options.Now()
+	deadline := p.call.Arrived + p.call.Timeout
+	if p.stopAt != 0 {
+		deadline = min(deadline, p.stopAt)
+	}
 	// A caller that retries has less time left than the route allows.
 	spent := min(max(0, p.route.Timeout-p.call.Timeout), p.route.Objective)
 	query, actions := g.coordinator.Begin(now, view, p.route, gather.Request{
 		ID: p.call.ID, Arrived: p.call.Arrived, FirstSent: p.call.Arrived - spent - p.call.NetworkDelay,
-		Deadline: p.call.Arrived + p.call.Timeout, Quarantined: p.inQuarantine,
+		Deadline: deadline, Quarantined: p.inQuarantine,
 	})
 	p.query = query
 	p.perform(now, actions)
