--- a/io/gateway/stop.go
+++ b/io/gateway/stop.go
@@ -16,8 +16,9 @@
 	return g.options.StopAt()
 }
 
-// fitsBefore reports whether a call may be accepted although a planned stop ends it at an instant: one that may run once
-// only if its whole time fits, as its caller could not repeat it, and any other if there is time for an ordinary answer.
+// fitsBefore reports whether a call may be accepted although a planned stop ends it at an instant: one that may run
+// once only if its whole time fits, as its caller could not repeat it, and any other if there is time for an answer
+// within the route's objective.
 func fitsBefore(stopAt clock.Milli, call *Call, route *catalog.Route) bool {
 	needed := min(call.Timeout, route.Timeout)
 	if route.Idempotent {
