Read the store again after its restore, also if it is away at that moment

Found while reading: the list that ends the time for the owners was tried once only; what was assumed until then would have stayed. The spec has the store away at that moment and was red before. Stages of version moves are written in one place.

--- a/io/registry/moves.go
+++ b/io/registry/moves.go
@@ -92,7 +92,7 @@
 	next, changed := rollout.Next(now, o, stored.record.Progress, verdict)
 	if !changed && stored.assumed {
 		// The store lost the stage.
-		if err := r.writeMove(ctx, now, o.Service, next.Rollout, stored.revision); err != nil {
+		if _, err := r.writeMove(ctx, now, o.Service, next.Rollout, stored.revision); err != nil {
 			return err
 		}
 	}
@@ -103,11 +103,7 @@
 
 		return r.writeReport(ctx, now, o.Service, next.Rollout)
 	}
-	text, err := encodeMove(next.Rollout)
-	if err != nil {
-		return err
-	}
-	done, err := r.compareAndSwap(ctx, now, moveKey(o.Service), text, stored.revision, "")
+	done, err := r.writeMove(ctx, now, o.Service, next.Rollout, stored.revision)
 	if err != nil || !done {
 		return err
 	}
@@ -117,17 +113,17 @@
 	return r.writeReport(ctx, now, o.Service, next.Rollout)
 }
 
-// writeMove writes the stage of a version move over the revision that the store has, unless another daemon did.
+// writeMove writes the stage of a version move if the store's entry still has the revision expect. It reports false when
+// another daemon wrote it first.
 func (r *Registry) writeMove(
 	ctx context.Context, now clock.Milli, service string, m catalog.Rollout, expect int64,
-) error {
+) (bool, error) {
 	text, err := encodeMove(m)
 	if err != nil {
-		return err
+		return false, err
 	}
-	_, err = r.compareAndSwap(ctx, now, moveKey(service), text, expect, "")
 
-	return err
+	return r.compareAndSwap(ctx, now, moveKey(service), text, expect, "")
 }
 
 // recordStep records an event for a step of a version move, and why the move is rolled back if it is.
--- a/io/registry/registry.go
+++ b/io/registry/registry.go
@@ -206,7 +206,8 @@
 	if r.inactive() {
 		return r.pollStandby(ctx)
 	}
-	if !r.loaded || r.restoreEnded(r.options.Now()) {
+	r.endRestore(r.options.Now())
+	if !r.loaded {
 		return r.load(ctx)
 	}
 	changes, revision, err := r.watch(ctx)
--- a/io/registry/restore.go
+++ b/io/registry/restore.go
@@ -39,15 +39,11 @@
 	})
 }
 
-// restoreEnded reports, once, that the owners of the lost entries have had their time. The store is then read again and
-// believed.
-func (r *Registry) restoreEnded(now clock.Milli) bool {
-	if r.restoredUntil == 0 || now < r.restoredUntil {
-		return false
+// endRestore has the store read again, and believed, once the owners of the lost entries have had their time.
+func (r *Registry) endRestore(now clock.Milli) {
+	if r.restoredUntil != 0 && now >= r.restoredUntil {
+		r.restoredUntil, r.loaded = 0, false
 	}
-	r.restoredUntil = 0
-
-	return true
 }
 
 // verdict says what to do with a record that the store holds.
--- a/io/registry/restore_test.go
+++ b/io/registry/restore_test.go
@@ -64,13 +64,15 @@
 		Expect(usable()).To(Equal(1))
 	})
 
-	It("believes the store once the owners have had time to write again", func() {
+	It("believes the store once the owners have had time to write again, also if it is away by then", func() {
 		restore := r.copyStore()
 		r.put("u1", "upstream s draining")
 		r.remove("u2")
 		r.advance(1000)
 		afterRestore(restore)
+		r.storeErr = errUnavailable
 		r.advance(2000)
+		r.storeErr = nil
 		r.advance(1000)
 		Expect(usable()).To(Equal(2))
 	})
