--- a/io/registry/moves.go
+++ b/io/registry/moves.go
@@ -113,8 +113,8 @@
 	return r.writeReport(ctx, now, o.Service, next.Rollout)
 }
 
-// writeMove writes the stage of a version move if its entry still has the revision expect. It reports false when another
-// daemon wrote it first.
+// writeMove writes the stage of a version move if its entry still has the revision expect. It reports false when
+// another daemon wrote the entry first.
 func (r *Registry) writeMove(
 	ctx context.Context, now clock.Milli, service string, m catalog.Rollout, expect int64,
 ) (bool, error) {
