Hedge a query to many shards only after an upstream has responded

What callers saw: on the small sites, where a shard has two replicas, the one hedge that was still sent before the first response took the second replica of a shard with it, and the answers of 3 s lacked that shard.

By chance not all of four shards or more are late.

--- a/core/gather/suspect.go
+++ b/core/gather/suspect.go
@@ -11,12 +11,18 @@
 // responded. Its further legs are sent one at a time.
 func (q *Query) suspect() bool { return q.broken > 0 && !q.answered }
 
+// chanceShards is the number of shards that are not all late by chance.
+const chanceShards = 4
+
 // mayHedge reports whether a shard that is late may be sent a second leg. Until an upstream has responded, the request
-// itself may be why its legs are late, and only one shard at a time gets a second leg.
+// itself may be why its legs are late: no shard gets a second leg if there are many, and otherwise one at a time.
 func (q *Query) mayHedge() bool {
 	if q.answered {
 		return true
 	}
+	if len(q.shards) >= chanceShards {
+		return false
+	}
 
 	return q.broken == 0 && !slices.ContainsFunc(q.shards, func(s shard) bool { return s.inFlight > 1 })
 }
