--- a/core/gather/suspect.go
+++ b/core/gather/suspect.go
@@ -7,12 +7,12 @@
 	"jacinthferry/core/reason"
 )
 
-// suspect reports whether the request may crash the upstreams that run it: connections broke, and no upstream has
-// responded. Its further legs are sent one at a time.
+// suspect reports whether the request may crash the upstreams that run it: a connection broke, and no upstream has
+// responded. Further legs are then sent one at a time.
 func (q *Query) suspect() bool { return q.broken > 0 && !q.answered }
 
-// chanceShards is the number of shards that are not all late by chance.
-const chanceShards = 4
+// maxStragglers is the largest number of shards that may all be late by chance.
+const maxStragglers = 3
 
 // mayHedge reports whether a shard that is late may be sent a second leg. Until an upstream has responded, the request
 // itself may be why its legs are late: no shard gets a second leg if there are many, and otherwise one at a time.
@@ -20,7 +20,7 @@
 	if q.answered {
 		return true
 	}
-	if len(q.shards) >= chanceShards {
+	if len(q.shards) > maxStragglers {
 		return false
 	}
 
