Use the field's words for restores, pauses and shutdowns; derive and join what stood twice

The type verdict of io/registry stood beside variables of that name for another thing. Whether a daemon is stopping follows from when it does. One loop lists the relay addresses. A refusal for want of room names pauses besides rate limits.

--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -71,7 +71,7 @@
 	refilled  clock.Milli
 	// blockedUntil is until when the upstream gets no request.
 	blockedUntil clock.Milli
-	// pausedUntil is until when the upstream wants no request.
+	// pausedUntil is until when the upstream asked to get no request.
 	pausedUntil clock.Milli
 	// limit is the rate limit that the upstream named, if limited is set, and limitSent when the request was sent
 	// whose answer told so.
@@ -95,7 +95,7 @@
 	// OnLimit is called when an upstream names another rate limit, or no longer names one, which is nil. It may be
 	// nil.
 	OnLimit func(u *catalog.Upstream, limit *RateLimit)
-	// OnLeaving is called when an upstream first says that it is leaving. It may be nil.
+	// OnLeaving is called when an upstream first announces its shutdown. It may be nil.
 	OnLeaving func(u *catalog.Upstream)
 }
 
@@ -103,7 +103,7 @@
 type Balancer struct {
 	rules  Options
 	states map[catalog.Key]*state
-	// leaving holds when upstreams said that they are leaving.
+	// leaving holds when upstreams announced their shutdown.
 	leaving map[catalog.Key]clock.Milli
 }
 
--- a/core/balance/leaving.go
+++ b/core/balance/leaving.go
@@ -8,10 +8,10 @@
 	"jacinthferry/core/clock"
 )
 
-// leavingMemory is how long an upstream that said that it is leaving is remembered. It has ended long before.
+// leavingMemory is how long an upstream that announced its shutdown is remembered. It has ended long before.
 const leavingMemory = clock.Hour
 
-// HandleLeaving records that an answer of an upstream said that it is leaving. It gets no request any more, whatever
+// HandleLeaving records that an upstream announced its shutdown in an answer. It gets no request any more, whatever
 // its entry says.
 func (b *Balancer) HandleLeaving(now clock.Milli, u *catalog.Upstream) {
 	if _, known := b.leaving[u.Key()]; known {
@@ -23,14 +23,14 @@
 	}
 }
 
-// Leaving reports whether an upstream said that it is leaving.
+// Leaving reports whether an upstream announced its shutdown.
 func (b *Balancer) Leaving(u *catalog.Upstream) bool {
 	_, leaving := b.leaving[u.Key()]
 
 	return leaving
 }
 
-// Remaining returns the upstreams of list that did not say that they are leaving.
+// Remaining returns the upstreams of list that did not announce their shutdown.
 func (b *Balancer) Remaining(list []*catalog.Upstream) []*catalog.Upstream {
 	if len(b.leaving) == 0 || !slices.ContainsFunc(list, b.Leaving) {
 		return list
--- a/core/balance/leaving_test.go
+++ b/core/balance/leaving_test.go
@@ -9,7 +9,7 @@
 	. "github.com/onsi/gomega"
 )
 
-var _ = Describe("an upstream that says that it is leaving", func() {
+var _ = Describe("an upstream that announces its shutdown", func() {
 	const now = 100 * clock.Second
 	stays, leaves := &catalog.Upstream{ID: "stays", Slots: 2}, &catalog.Upstream{ID: "leaves", Slots: 2}
 	var told int
--- a/core/balance/limit.go
+++ b/core/balance/limit.go
@@ -36,13 +36,13 @@
 	}
 }
 
-// Pause records that an upstream wants no request of this daemon until an instant.
+// Pause records that an upstream asked this daemon to send nothing until an instant.
 func (b *Balancer) Pause(now, until clock.Milli, u *catalog.Upstream) {
 	s := b.state(now, u)
 	s.pausedUntil = max(s.pausedUntil, min(until, now+maxPause))
 }
 
-// PauseLeft returns how much longer an upstream wants no request of this daemon.
+// PauseLeft returns how much longer an upstream asked this daemon to send nothing.
 func (b *Balancer) PauseLeft(now clock.Milli, u *catalog.Upstream) clock.Milli {
 	s := b.states[u.Key()]
 	if s == nil {
--- a/core/gather/coordinator.go
+++ b/core/gather/coordinator.go
@@ -256,7 +256,7 @@
 	Load *balance.Load
 	// Limit is the rate limit that the upstream named, or nil.
 	Limit *balance.RateLimit
-	// Leaving is set if the upstream said that it is leaving, and Pause is how long it wants no request, or 0.
+	// Leaving is set if the upstream announced its shutdown, and Pause is for how long it asked to get no request, or 0.
 	Leaving bool
 	Pause   clock.Milli
 	// MergeDelay is how long another daemon held the answer back to merge it with others.
--- a/core/gather/legs.go
+++ b/core/gather/legs.go
@@ -38,7 +38,7 @@
 	q.send(now, i, u, s.failReason)
 }
 
-// usable returns the upstreams of a service that take requests, without those that said that they are leaving.
+// usable returns the upstreams of a service that take requests, without those that announced their shutdown.
 func (q *Query) usable(service string) []*catalog.Upstream {
 	return q.coordinator.balancer.Remaining(q.view.Usable(service))
 }
--- a/core/gather/overload.go
+++ b/core/gather/overload.go
@@ -52,7 +52,9 @@
 func (q *Query) refuseOverloaded(now clock.Milli, estimates []estimate) bool {
 	last := estimates[q.shardsToReserve(estimates)-1]
 	if last.limited {
-		q.detail = fmt.Sprintf("%s: no room under the rate limits of its upstreams for %.0f ms", q.serviceOf(last), last.wait)
+		q.detail = fmt.Sprintf(
+			"%s: rate limits or pauses of its upstreams leave no room for %.0f ms", q.serviceOf(last), last.wait,
+		)
 		q.room = now + last.wait
 		q.refuseAll(now, reason.Limit)
 
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -64,7 +64,6 @@
 	lease    *registry.Lease
 	gateway  *gateway.Gateway
 	idle     *socket.IdleCloser
-	leaving  atomic.Bool
 	// stopAt is when a planned stop ends the requests that are in progress, or nil while none is under way.
 	stopAt  atomic.Pointer[clock.Milli]
 	servers []*http.Server
@@ -116,7 +115,7 @@
 	})
 	e.idle = socket.NewIdleCloser(now, func() clock.Milli { return e.gateway.Limits().IdleTimeout })
 	front := &platform.CallerHandler{
-		Now: now, Serve: e.gateway.Serve, Limits: e.gateway.Limits, ShuttingDown: e.leaving.Load,
+		Now: now, Serve: e.gateway.Serve, Limits: e.gateway.Limits, ShuttingDown: e.stopping,
 	}
 	if err := e.listen(ctx, front); err != nil {
 		e.Close()
@@ -194,39 +193,38 @@
 	return nil
 }
 
+// stopping reports whether a planned stop is under way.
+func (e *Entry) stopping() bool { return e.stopAt.Load() != nil }
+
 // Ready reports whether the daemon accepts requests: it has a configuration, is not on standby and is not
 // shutting down.
 func (e *Entry) Ready() bool {
 	view := e.registry.View()
 
-	return !e.leaving.Load() && !e.registry.Standby() && view != nil && view.Config != nil
+	return !e.stopping() && !e.registry.Standby() && view != nil && view.Config != nil
 }
 
 // relayAddresses returns the relay addresses of the daemons in an availability zone that send legs for others.
 func (e *Entry) relayAddresses(zone string) []string {
-	state := e.registry.State()
-	if state == nil {
-		return nil
-	}
-	var list []string
-	for _, m := range state.Members {
-		if m.Zone == zone && m.Relay != "" {
-			list = append(list, m.Relay)
-		}
-	}
-
-	return list
+	return e.relays(func(m registry.Member) bool { return m.Zone == zone })
 }
 
 // otherRelayAddresses returns the relay addresses of all other daemons that serve requests.
 func (e *Entry) otherRelayAddresses() []string {
+	self := e.settings.Load().Name
+
+	return e.relays(func(m registry.Member) bool { return m.Name != self })
+}
+
+// relays returns the relay addresses of the daemons that match.
+func (e *Entry) relays(match func(registry.Member) bool) []string {
 	state := e.registry.State()
 	if state == nil {
 		return nil
 	}
 	var list []string
 	for _, m := range state.Members {
-		if m.Relay != "" && m.Relay != e.settings.Load().RelayAddress {
+		if m.Relay != "" && match(m) {
 			list = append(list, m.Relay)
 		}
 	}
@@ -276,7 +274,6 @@
 	s := e.settings.Load()
 	stopAt := e.now() + s.GracePeriod - exitMargin - answerMargin
 	e.stopAt.Store(&stopAt)
-	e.leaving.Store(true)
 	e.lease.Release(ctx)
 	klog.InfoS("left", "name", s.Name)
 	time.Sleep(time.Until(started.Add((s.GracePeriod - drainMargin).Duration())))
--- a/io/gateway/call.go
+++ b/io/gateway/call.go
@@ -71,8 +71,8 @@
 	Load *balance.Load
 	// Limit is the rate limit that the upstream named, or nil.
 	Limit *balance.RateLimit
-	// Leaving is set if the upstream said that it is leaving, and Pause is how long it wants no request of this daemon,
-	// or 0.
+	// Leaving is set if the upstream announced its shutdown, and Pause is for how long it asked this daemon to
+	// send nothing, or 0.
 	Leaving bool
 	Pause   clock.Milli
 	// Warmup is how much longer the upstream needs to warm up.
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -73,7 +73,7 @@
 		OnLeaving: func(u *catalog.Upstream) {
 			options.Record(event.Event{
 				Kind: event.Upstream, Reason: reason.Draining, Service: u.Service, Upstream: u.ID,
-				Detail: "said that it is leaving",
+				Detail: "announced its shutdown",
 			})
 		},
 	})
--- a/io/registry/entries.go
+++ b/io/registry/entries.go
@@ -38,13 +38,13 @@
 	if record.Kind == Ignored {
 		return false
 	}
-	record, verdict := r.reconcile(old.record, record, e)
-	if verdict == ignore {
+	record, how := r.reconcile(old.record, record, e)
+	if how == skipEntry {
 		return false
 	}
 	r.mergeCrashes(old.record.Crashes, record.Crashes)
 	r.recordChange(&old.record, &record, e)
-	r.entries[e.Key] = storedRecord{record: record, revision: e.Revision, assumed: verdict == assume}
+	r.entries[e.Key] = storedRecord{record: record, revision: e.Revision, assumed: how == keepKnown}
 
 	return true
 }
@@ -62,12 +62,12 @@
 
 		return false
 	case Report:
-		// It is written again.
+		// It is rewritten.
 		delete(r.entries, key)
 
 		return false
 	case Upstream, Daemon, ZoneOut:
-		// An operator may bring a zone back while the store is in trouble, but only a restore makes it forget one.
+		// An operator may bring a zone back while the store is in trouble, but only a restore loses one.
 		if now < r.graceUntil && (s.record.Kind != ZoneOut || r.restoredUntil != 0) {
 			if s.expiresAt == 0 {
 				s.expiresAt = r.graceUntil
--- a/io/registry/registry.go
+++ b/io/registry/registry.go
@@ -60,7 +60,7 @@
 	revision int64
 	// expiresAt is when a record whose entry was deleted is removed, or 0 while the entry exists.
 	expiresAt clock.Milli
-	// assumed is set while the record is what was known before the store came back from a copy, which may differ from
+	// assumed is set while the record is what was known before the store was restored from a backup, which may differ from
 	// what the store holds.
 	assumed bool
 }
@@ -90,8 +90,8 @@
 	loaded        bool
 	// graceUntil is when the grace period after the last store failure or recovery ends.
 	graceUntil clock.Milli
-	// restoredUntil is set while the store may hold older things than this daemon knows, because it came back from a
-	// copy and their owners have yet to write them again. Listing is set during a load in that period.
+	// restoredUntil is set while the store may hold older things than this daemon knows, because it was restored from
+	// a backup and their owners have yet to rewrite them. Listing is set during a load in that period.
 	restoredUntil clock.Milli
 	listing       bool
 	// removed are the upstreams that were removed lately, by their key.
--- a/io/registry/registry_test.go
+++ b/io/registry/registry_test.go
@@ -104,7 +104,7 @@
 				return nil, 0, r.storeErr
 			}
 			if store.Generation(after) != store.Generation(r.revision) {
-				return nil, 0, reason.NewRefusal(reason.Compacted, reason.NotExecuted, "came back from a copy")
+				return nil, 0, reason.NewRefusal(reason.Compacted, reason.NotExecuted, "was restored from a backup")
 			}
 			events := r.pending
 			r.pending = nil
--- a/io/registry/restore.go
+++ b/io/registry/restore.go
@@ -13,9 +13,9 @@
 )
 
 const (
-	// restoreGrace is how long after the store came back from a copy its owners may take to write again what it lost.
+	// restoreGrace is how long after the store was restored from a backup its owners may take to rewrite what it lost.
 	restoreGrace = 2500 * clock.Millisecond
-	// removalMemory is how long a removed upstream is remembered. A copy of the store is not older.
+	// removalMemory is how long a removed upstream is remembered. A backup of the store is not older.
 	removalMemory = clock.Minute
 )
 
@@ -26,7 +26,7 @@
 }
 
 // checkRestore begins the period in which the store may hold older things than this daemon knows, if a list shows that
-// it came back from a copy.
+// it was restored from a backup.
 func (r *Registry) checkRestore(now clock.Milli, revision int64) {
 	if r.watchRevision == 0 || store.Generation(revision) <= store.Generation(r.watchRevision) {
 		return
@@ -35,42 +35,43 @@
 	r.graceUntil = max(r.graceUntil, r.restoredUntil)
 	r.recordEvent(event.Event{
 		Kind: event.Store, Reason: reason.Compacted, Revision: uint64(revision),
-		Detail: fmt.Sprintf("came back from a copy, generation %d", store.Generation(revision)),
+		Detail: fmt.Sprintf("was restored from a backup, generation %d", store.Generation(revision)),
 	})
 }
 
-// endRestore has the store read again, and believed, once the owners of the lost entries have had their time.
+// endRestore has the store read again once the owners of the lost entries have had their time.
 func (r *Registry) endRestore(now clock.Milli) {
 	if r.restoredUntil != 0 && now >= r.restoredUntil {
 		r.restoredUntil, r.loaded = 0, false
 	}
 }
 
-// verdict says what to do with a record that the store holds.
-type verdict int
+// resolution says what replaces an entry that the store holds in another state.
+type resolution int
 
 const (
-	// believe takes the record, assume takes what is known instead until the store is believed again, and ignore
-	// leaves everything as it is.
-	believe verdict = iota
-	assume
-	ignore
+	// takeStored takes what the store holds.
+	takeStored resolution = iota
+	// keepKnown keeps what is known until the store is read again after a restore.
+	keepKnown
+	// skipEntry leaves everything as it is.
+	skipEntry
 )
 
 // reconcile returns the record that replaces old when the store holds record, and whether that is the store's.
 // A configuration never goes back to an earlier version, nor a version move to an earlier stage. What a list tells
-// shortly after the store came back from a copy may be older than what is known: draining upstreams keep draining,
+// shortly after the store was restored from a backup may be older than what is known: draining upstreams keep draining,
 // removed ones stay away, and orders of version moves stay as they are.
-func (r *Registry) reconcile(old, record Record, e store.Entry) (Record, verdict) {
+func (r *Registry) reconcile(old, record Record, e store.Entry) (Record, resolution) {
 	if record.Kind != old.Kind && record.Kind != Upstream {
-		return record, believe
+		return record, takeStored
 	}
 	switch record.Kind {
 	case Config:
 		return r.reconcileConfig(old, record, e)
 	case Progress:
 		if record.Progress.Precedes(old.Progress) {
-			return old, assume
+			return old, keepKnown
 		}
 	case Order:
 		return r.reconcileOrder(old, record)
@@ -79,28 +80,28 @@
 	default:
 	}
 
-	return record, believe
+	return record, takeStored
 }
 
-func (r *Registry) reconcileConfig(old, record Record, e store.Entry) (Record, verdict) {
+func (r *Registry) reconcileConfig(old, record Record, e store.Entry) (Record, resolution) {
 	if record.Config.Version >= old.Config.Version {
-		return record, believe
+		return record, takeStored
 	}
 	r.recordEvent(event.Event{
 		Kind: event.Revision, Reason: reason.Stale, Revision: uint64(e.Revision),
 		Detail: fmt.Sprintf("passed over configuration %d, %d is in force", record.Config.Version, old.Config.Version),
 	})
 
-	return old, believe
+	return old, takeStored
 }
 
-// reconcileOrder keeps an order that differs from the one in the copy. One that is written again with the same content
+// reconcileOrder keeps an order that differs from the one in the backup. One that is rewritten with the same content
 // is the same order, which began when it was first seen.
-func (r *Registry) reconcileOrder(old, record Record) (Record, verdict) {
+func (r *Registry) reconcileOrder(old, record Record) (Record, resolution) {
 	before, after := old.Order, record.Order
 	same := before.Version == after.Version && before.MaxDuration == after.MaxDuration
 	if r.listing && !same {
-		return old, assume
+		return old, keepKnown
 	}
 	if same && (r.restoredUntil != 0 || store.Generation(before.Revision) < store.Generation(after.Revision)) {
 		record.Order.Seen = before.Seen
@@ -109,26 +110,26 @@
 		}
 	}
 
-	return record, believe
+	return record, takeStored
 }
 
-func (r *Registry) reconcileUpstream(old, record Record, e store.Entry) (Record, verdict) {
+func (r *Registry) reconcileUpstream(old, record Record, e store.Entry) (Record, resolution) {
 	if !r.listing {
-		return record, believe
+		return record, takeStored
 	}
 	u := record.Upstream
 	if old.Kind != Upstream && r.removed[e.Key].key == u.Key() {
-		return Record{}, ignore
+		return Record{}, skipEntry
 	}
 	if old.Kind == Upstream && old.Upstream.Key() == u.Key() && old.Upstream.Draining && !u.Draining {
 		draining := *u
 		draining.Draining = true
 		record.Upstream = &draining
 
-		return record, assume
+		return record, keepKnown
 	}
 
-	return record, believe
+	return record, takeStored
 }
 
 // adoptMoves lets the version moves that began in an earlier generation go on under the revisions that their orders
--- a/io/registry/restore_test.go
+++ b/io/registry/restore_test.go
@@ -8,10 +8,10 @@
 	. "github.com/onsi/gomega"
 )
 
-// writeAgainAfter is when the owners of lost entries have written them again.
-const writeAgainAfter = clock.Second
+// rewriteAfter is when the owners of lost entries have rewritten them.
+const rewriteAfter = clock.Second
 
-var _ = Describe("A registry whose store comes back from a copy", func() {
+var _ = Describe("A registry whose store is restored from a backup", func() {
 	var r *harness
 	usable := func() int { return len(r.View().Usable("s")) }
 	BeforeEach(func() {
@@ -24,8 +24,8 @@
 	// afterRestore brings the store back and lets the registry notice.
 	afterRestore := func(restore func()) {
 		restore()
-		r.advance(writeAgainAfter / 2)
-		r.advance(writeAgainAfter / 2)
+		r.advance(rewriteAfter / 2)
+		r.advance(rewriteAfter / 2)
 	}
 
 	It("takes over the changes after it, although their revisions were given out before", func() {
@@ -51,7 +51,7 @@
 		Expect(r.View().Config.Version).To(BeEquivalentTo(2))
 	})
 
-	It("gives no requests to an upstream that the copy does not know to be draining or gone, until it writes again", func() {
+	It("gives no requests to an upstream that the backup does not know to be draining or gone, until it rewrites its entry", func() {
 		restore := r.copyStore()
 		r.put("u1", "upstream s draining")
 		r.remove("u2")
@@ -64,7 +64,7 @@
 		Expect(usable()).To(Equal(1))
 	})
 
-	It("believes the store once the owners have had time to write again, also if it is away by then", func() {
+	It("takes what the store holds once the owners have had time to rewrite them, also if it is away by then", func() {
 		restore := r.copyStore()
 		r.put("u1", "upstream s draining")
 		r.remove("u2")
@@ -77,7 +77,7 @@
 		Expect(usable()).To(Equal(2))
 	})
 
-	It("keeps upstreams and daemons that the copy lacks, until their owners had time to write them again", func() {
+	It("keeps upstreams and daemons that the backup lacks, until their owners had time to rewrite them", func() {
 		restore := r.copyStore()
 		r.put("u3", "upstream s")
 		r.member("other", "a", 0.4)
@@ -93,7 +93,7 @@
 		Expect(r.State().Members).To(BeEmpty())
 	})
 
-	It("keeps an availability zone out of service that the copy does not have out", func() {
+	It("keeps an availability zone out of service that the backup does not have out", func() {
 		restore := r.copyStore()
 		r.put("z", "out a")
 		r.advance(1000)
@@ -107,7 +107,7 @@
 		}
 	})
 
-	It("brings a version move no step back, and writes it and its report again", func() {
+	It("brings a version move no step back, and rewrites it and its report", func() {
 		r.put("order", "order v2")
 		r.advance(1000)
 		ordered := r.copyStore()
@@ -137,7 +137,7 @@
 		Expect(stage()).To(Equal(catalog.Canary))
 	})
 
-	It("writes a version move again that the copy lacks", func() {
+	It("rewrites a version move that the backup lacks", func() {
 		restore := r.copyStore()
 		r.put("order", "order v2")
 		r.advance(1000)
@@ -153,7 +153,7 @@
 		Expect(m.Stage).To(Equal(catalog.RolledBack))
 	})
 
-	It("publishes again the crashes of upstreams that the copy lacks", func() {
+	It("publishes again the crashes of upstreams that the backup lacks", func() {
 		restore := r.copyStore()
 		r.PublishCrash(crashWarning)
 		r.advance(1000)
--- a/io/relay/wire.go
+++ b/io/relay/wire.go
@@ -92,8 +92,8 @@
 	Results []legResult `cbor:"parts"`
 	// Limits are the rate limits that upstreams named, by the number of the leg.
 	Limits map[int]float64 `cbor:"limits,omitempty"`
-	// Leaving are the numbers of the legs whose upstreams said that they are leaving, and Pauses how long upstreams
-	// want no request, by the number of the leg.
+	// Leaving are the numbers of the legs whose upstreams announced their shutdown, and Pauses for how long upstreams
+	// asked to get no request, by the number of the leg.
 	Leaving []int               `cbor:"leaving,omitempty"`
 	Pauses  map[int]clock.Milli `cbor:"pauses,omitempty"`
 	Body    []byte              `cbor:"body,omitempty"`
--- a/io/store/port.go
+++ b/io/store/port.go
@@ -61,6 +61,6 @@
 	Revoke    func(ctx context.Context, lease string) error
 	Watch     func(ctx context.Context, prefix string, after int64, wait clock.Milli) ([]Entry, int64, error)
 	Instances func(ctx context.Context) ([]Instance, error)
-	// Generation returns how often the store is known to have come back from a copy. It may be nil.
+	// Generation returns how often the store is known to have been restored from a backup. It may be nil.
 	Generation func() int64
 }
--- a/standin/platform/store_test.go
+++ b/standin/platform/store_test.go
@@ -53,7 +53,7 @@
 		Expect(refusalOf(err)).To(Equal(reason.Refusal{Reason: reason.Size, Run: reason.NotExecuted}))
 	})
 
-	It("gives out numbers again after it came back from a copy, which clients tell from the earlier ones", func(ctx SpecContext) {
+	It("gives out numbers again after it was restored from a backup, which clients tell from the earlier ones", func(ctx SpecContext) {
 		copied := standIn.Copy()
 		lost, err := client.Grant(ctx, 300*clock.Millisecond)
 		Expect(err).NotTo(HaveOccurred())
