--- a/review/kit/backend.go
+++ b/review/kit/backend.go
@@ -43,6 +43,8 @@
 	work                       time.Duration
 	// crashRate is how many requests in a second crash the backend while it is cold, or 0 if none do.
 	crashRate int
+	// silentLoad is set if responses do not tell the load.
+	silentLoad bool
 	// fails reports whether the response to a request is a failure. It may be nil.
 	fails func() bool
 }
@@ -73,8 +75,11 @@
 	cancel  context.CancelFunc
 	crashed sync.Once
 
-	mu        sync.Mutex
-	waiting   int
+	mu       sync.Mutex
+	waiting  int
+	draining bool
+	// slow is by how many times longer requests take, or 0.
+	slow      int
 	coldUntil time.Time
 	// coldArrivals are the times of the last requests that came while the backend was cold.
 	coldArrivals []time.Time
@@ -118,7 +123,11 @@
 	defer b.mu.Unlock()
 	b.sequence++
 	warmup := b.coldLeft().Milliseconds()
-	written := strconv.FormatInt(warmup, 10)
+	state := "ready"
+	if b.draining {
+		state = "draining"
+	}
+	written := fmt.Sprint(state, warmup)
 	if written == b.written {
 		// The entry changes when more than seq changes.
 		return
@@ -126,7 +135,7 @@
 	b.written = written
 	text, err := json.Marshal(map[string]any{
 		"service": b.service, "addr": b.address, "zone": b.zone, "version": b.version, "capacity": b.slots,
-		"state": "ready", "warmupMs": warmup, "seq": b.sequence, "born": b.born,
+		"state": state, "warmupMs": warmup, "seq": b.sequence, "born": b.born,
 	})
 	if err == nil {
 		b.fleet.store.put("servers/"+b.id, text)
@@ -144,6 +153,38 @@
 	b.writeEntry()
 }
 
+// drain tells that the backend drains, and returns when the store acknowledged that. It serves on.
+func (b *backend) drain() time.Time {
+	b.mu.Lock()
+	b.draining = true
+	b.mu.Unlock()
+	b.writeEntry()
+
+	return time.Now()
+}
+
+// stop ends the backend and removes its entry.
+func (b *backend) stop() {
+	b.cancel()
+	_ = b.server.Close()
+	b.fleet.store.remove("servers/" + b.id)
+}
+
+// slowDown makes requests take a number of times as long.
+func (b *backend) slowDown(factor int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.slow = factor
+}
+
+// workTime returns how long a request takes.
+func (b *backend) workTime() time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+
+	return b.work * time.Duration(max(1, b.slow))
+}
+
 // enter takes a slot. It reports false if the queue is full or the request's time is up.
 func (b *backend) enter(ctx context.Context, limit time.Duration) bool {
 	b.mu.Lock()
@@ -169,11 +210,13 @@
 	return false
 }
 
-func (b *backend) load() string {
+// tellLoad adds the load to a response, if the backend tells it.
+func (b *backend) tellLoad(h http.Header) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-
-	return fmt.Sprintf("%d,%d,%d", len(b.slotsIn), b.waiting, b.slots)
+	if !b.silentLoad {
+		h.Set(headerLoad, fmt.Sprintf("%d,%d,%d", len(b.slotsIn), b.waiting, b.slots))
+	}
 }
 
 // isCold reports whether the backend is cold, and for how much longer.
@@ -240,7 +283,7 @@
 	}
 	if !b.enter(r.Context(), limit) {
 		h.Set(headerNotRun, "1")
-		h.Set(headerLoad, b.load())
+		b.tellLoad(h)
 		w.WriteHeader(http.StatusServiceUnavailable)
 
 		return
@@ -248,7 +291,7 @@
 	defer func() { <-b.slotsIn }()
 	a.Ran = true
 	select {
-	case <-time.After(b.work):
+	case <-time.After(b.workTime()):
 	case <-r.Context().Done():
 		return
 	}
@@ -257,7 +300,7 @@
 		status = http.StatusInternalServerError
 	}
 	h.Set(headerStamp, id+"."+b.id+"."+strconv.Itoa(status))
-	h.Set(headerLoad, b.load())
+	b.tellLoad(h)
 	body := sha256.Sum256([]byte(id + b.id))
 	h.Set("Content-Length", strconv.Itoa(len(body)))
 	w.WriteHeader(status)
@@ -268,6 +311,12 @@
 func (b *backend) serveHealth(w http.ResponseWriter) {
 	_, left := b.isCold()
 	w.Header().Set(headerInstance, b.id)
-	w.Header().Set(headerLoad, b.load())
+	b.tellLoad(w.Header())
 	w.Header().Set(headerWarmup, strconv.FormatInt(left.Milliseconds(), 10))
+	b.mu.Lock()
+	draining := b.draining
+	b.mu.Unlock()
+	if draining {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
 }
--- a/review/kit/client.go
+++ b/review/kit/client.go
@@ -81,7 +81,8 @@
 
 // send sends a request to a daemon and records the result.
 func (c *clients) send(address, method, target string, deadline time.Duration) {
-	res := result{ID: fmt.Sprintf("%08x", c.last.Add(1)), Method: method, Daemon: c.fleet.daemonName(address), Sent: time.Now()}
+	res := result{ID: fmt.Sprintf("%08x", c.last.Add(1)), Method: method, Sent: time.Now()}
+	res.Daemon = c.fleet.daemonName(address)
 	ctx, cancel := context.WithTimeout(c.fleet.ctx, deadline)
 	defer cancel()
 	//nolint:gosec // Addresses are those of the fleet.
--- a/review/kit/coldagain.go
+++ b/review/kit/coldagain.go
@@ -29,7 +29,7 @@
 // playColdAgain evacuates a zone, whose backends are cold when it is taken back, as their entries say.
 func playColdAgain(ctx context.Context, dir, record string, trouble bool) (verdict, error) {
 	zones := []string{"nl-midden-a", "nl-midden-b", "nl-midden-c"}
-	f, err := newFleet(ctx, dir, record, trouble, zones, 2)
+	f, err := newFleet(ctx, dir, record, trouble, zones)
 	if err != nil {
 		return verdict{}, err
 	}
--- a/review/kit/fleet.go
+++ b/review/kit/fleet.go
@@ -22,6 +22,8 @@
 const (
 	// readyTimeout is how long the daemons may take to serve after their start.
 	readyTimeout = 15 * time.Second
+	// daemonsPerZone is how many daemons each zone has.
+	daemonsPerZone = 2
 	// host is the host of all routes.
 	host = "pupu76.example"
 )
@@ -51,8 +53,8 @@
 	config   operatorConfig
 }
 
-// newFleet opens the record and writes the settings of the daemons, a number in each zone.
-func newFleet(ctx context.Context, dir, record string, trouble bool, zones []string, each int) (*fleet, error) {
+// newFleet opens the record and writes the settings of the daemons.
+func newFleet(ctx context.Context, dir, record string, trouble bool, zones []string) (*fleet, error) {
 	file, err := os.Create(filepath.Clean(record))
 	if err != nil {
 		return nil, errors.Wrap(err, "kit: cannot open the record")
@@ -62,7 +64,7 @@
 		taken: make(map[string]bool),
 	}
 	go f.store.run(ctx)
-	for n := range each * len(zones) {
+	for n := range daemonsPerZone * len(zones) {
 		if err := f.addDaemon(n, zones[n%len(zones)]); err != nil {
 			return nil, err
 		}
--- a/review/kit/main.go
+++ b/review/kit/main.go
@@ -31,7 +31,9 @@
 type play func(ctx context.Context, dir, record string, trouble bool) (verdict, error)
 
 func plays() map[string]play {
-	return map[string]play{"cold-again": playColdAgain, "stuck-watch": playStuckWatch, "revert": playRevert}
+	return map[string]play{
+		"cold-again": playColdAgain, "late-drain": playLateDrain, "revert": playRevert, "stuck-watch": playStuckWatch,
+	}
 }
 
 func main() { os.Exit(run()) }
--- a/review/kit/revert.go
+++ b/review/kit/revert.go
@@ -30,7 +30,7 @@
 // playRevert orders a move to a bad version, and a second later a move back to the version that ran before.
 func playRevert(ctx context.Context, dir, record string, trouble bool) (verdict, error) {
 	zones := []string{"nl-midden-a", "nl-midden-b", "nl-midden-c"}
-	f, err := newFleet(ctx, dir, record, trouble, zones, 2)
+	f, err := newFleet(ctx, dir, record, trouble, zones)
 	if err != nil {
 		return verdict{}, err
 	}
--- a/review/kit/stuckwatch.go
+++ b/review/kit/stuckwatch.go
@@ -33,7 +33,7 @@
 // playStuckWatch changes a large configuration in quick succession while one daemon is cut off from the store.
 func playStuckWatch(ctx context.Context, dir, record string, trouble bool) (verdict, error) {
 	zones := []string{"nl-midden-a", "nl-midden-b", "nl-midden-c"}
-	f, err := newFleet(ctx, dir, record, trouble, zones, 2)
+	f, err := newFleet(ctx, dir, record, trouble, zones)
 	if err != nil {
 		return verdict{}, err
 	}
