--- a/review/run-case.sh
+++ b/review/run-case.sh
@@ -8,8 +8,9 @@
 [ -x target/jacinthferry ] && [ -x "$kit" ] || { echo "build first: the line of deploy/system.toml, review/build.sh"; exit 2; }
 work=$(mktemp -d) || exit 2
 pids=()
+kitpid=
 finish() {
-  for pid in "${pids[@]}"; do kill -KILL "$pid" 2>/dev/null; done
+  for pid in "${pids[@]}" $kitpid; do kill -KILL "$pid"; done 2>/dev/null
   wait 2>/dev/null
   rm -rf "$work"
 }
@@ -24,23 +25,17 @@
 
 "$kit" --work "$work" --record "$folder/record.txt" "$1" &
 kitpid=$!
-pids+=("$kitpid")
 started=
 while kill -0 "$kitpid" 2>/dev/null; do
   if [ -z "$started" ] && [ -e "$work/start" ]; then
     started=yes
     for settings in "$work"/daemon-*.json; do start "$settings"; done
   fi
-  # The kit asks for the start of a daemon that it has ended.
-  for request in "$work"/*.again; do
-    [ -e "$request" ] || continue
-    rm -f "$request"
-    start "${request%.again}.json"
-  done
   sleep 0.05
 done
 wait "$kitpid"
 code=$?
+kitpid=
 [ "$code" -eq 2 ] && tail -n 2 "$work"/*.log >&2
 [ -n "${KEEP_LOGS:-}" ] && cp "$work"/*.log "$KEEP_LOGS"
 case $code in 0 | 1) exit "$code" ;; *) exit 2 ;; esac
