--- a/review/kit/main.go
+++ b/review/kit/main.go
@@ -39,7 +39,7 @@
 func main() { os.Exit(run()) }
 
 func run() int {
-	dir := flag.String("work", "", "folder for settings and process IDs")
+	dir := flag.String("work", "", "folder for settings")
 	record := flag.String("record", "record.txt", "file for the record")
 	flag.Parse()
 	p := plays()[flag.Arg(0)]
--- a/review/run-case.sh
+++ b/review/run-case.sh
@@ -20,7 +20,6 @@
 start() {
   JACINTHFERRY_CONFIG=$1 target/jacinthferry entry >>"${1%.json}.log" 2>&1 &
   pids+=($!)
-  echo $! >"${1%.json}.pid"
 }
 
 "$kit" --work "$work" --record "$folder/record.txt" "$1" &
