--- a/review/kit/latedrain.go
+++ b/review/kit/latedrain.go
@@ -22,15 +22,15 @@
 	releaseCount = 3
 	releaseGap   = time.Second
 	roundGap     = 5 * time.Second
-	// slowCount of orderBackends backends turn slow, which is a share of 0.4.
+	// slowCount of orderBackends backends turn slow, which is a share of less than 0.4.
 	slowCount     = 3
-	orderBackends = 7
+	orderBackends = 8
 	// orderWork is how long a request takes.
 	orderWork = 120 * time.Millisecond
 	// longWait is how long clients wait, and the timeout of the route.
 	longWait = 6 * time.Second
-	// busyRate is how many requests a second come: 0.85 of what the backends bear.
-	busyRate = 200
+	// busyRate is how many requests a second come: 0.86 of what the backends bear.
+	busyRate = 230
 )
 
 // playLateDrain slows backends of a service down and meanwhile replaces others.
--- a/review/kit/stuckwatch.go
+++ b/review/kit/stuckwatch.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"net/http"
-	"strings"
 	"time"
 )
 
@@ -15,7 +14,7 @@
 	// each of them gathers from.
 	addedRoutes  = 390
 	listedShards = 20
-	// stormCount changes of the configuration come, one each stormGap.
+	// stormCount changes of an idle route come, one each stormGap.
 	stormCount = 25
 	stormGap   = 60 * time.Millisecond
 	// contact is the time after which a machine is in touch again, and applyTime that in which it has to apply a
@@ -124,27 +123,27 @@
 	}
 }
 
-// storm changes the configuration in quick succession. It returns when the last change was acknowledged and a target on
-// the route that it added.
+// storm changes a route that no client calls in quick succession, and then adds one that clients call. It returns when
+// that change was acknowledged and a target on the route.
 func (f *fleet) storm() (time.Time, string, error) {
-	var at time.Time
-	var prefix string
 	for n := range stormCount {
-		prefix = fmt.Sprintf("/nieuw%d/", n)
-		var err error
-		at, err = f.writeConfig(func(c *operatorConfig) {
+		idle := fmt.Sprintf("stil%d", n)
+		_, err := f.writeConfig(func(c *operatorConfig) {
 			if n > 0 {
 				c.Routes = c.Routes[:len(c.Routes)-1]
 			}
-			c.Routes = append(c.Routes, printRoute("r"+strings.Trim(prefix, "/"), prefix))
+			c.Routes = append(c.Routes, printRoute("r-"+idle, "/"+idle+"/"))
 		})
 		if err != nil {
-			return at, "", err
+			return time.Time{}, "", err
 		}
 		time.Sleep(stormGap)
 	}
+	at, err := f.writeConfig(func(c *operatorConfig) {
+		c.Routes = append(c.Routes, printRoute("r-nieuw", "/nieuw/"))
+	})
 
-	return at, prefix + "x", nil
+	return at, "/nieuw/x", err
 }
 
 // judgeStuck counts the requests sent after an instant that were answered as if the last route were not there.
