Record which versions of a service take requests during a version move

The log of a version move told its stages, not which versions take requests and which get a share. No request goes elsewhere than before.

--- a/io/registry/moves.go
+++ b/io/registry/moves.go
@@ -3,6 +3,9 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
+	"slices"
+	"strings"
 
 	"github.com/pkg/errors"
 
@@ -140,6 +143,37 @@
 	})
 }
 
+// recordAssignments records an event for each version move after which other versions of the service take requests.
+func (r *Registry) recordAssignments(view *catalog.View, moves map[string]catalog.Rollout) {
+	for service, m := range moves {
+		assignment := fmt.Sprintf("requests go to %s, a share to %s",
+			describeVersions(view.Usable(service)), describeVersions(view.Canaries(service)))
+		if r.assignments[service] == assignment {
+			continue
+		}
+		r.assignments[service] = assignment
+		r.recordEvent(event.Event{
+			Kind: event.Move, Service: service, Version: m.Version, Revision: uint64(m.OrderRevision), Detail: assignment,
+		})
+	}
+}
+
+// describeVersions lists the versions of some upstreams, as text.
+func describeVersions(upstreams []*catalog.Upstream) string {
+	var versions []string
+	for _, u := range upstreams {
+		if !slices.Contains(versions, u.Version) {
+			versions = append(versions, u.Version)
+		}
+	}
+	slices.Sort(versions)
+	if len(versions) == 0 {
+		return "none"
+	}
+
+	return strings.Join(versions, " and ")
+}
+
 // writeReport writes the operators' report of a move, unless the store already holds the same text.
 func (r *Registry) writeReport(ctx context.Context, now clock.Milli, service string, m catalog.Rollout) error {
 	key, text, err := r.options.EncodeReport(service, m)
--- a/io/registry/registry.go
+++ b/io/registry/registry.go
@@ -105,6 +105,8 @@
 	retireAt    clock.Milli
 	wasActive   bool
 	startupDone bool
+	// assignments says which versions of a service with a version move take requests, as it was last recorded.
+	assignments map[string]string
 	// analyzer detects bad new versions from the counts of all daemons.
 	analyzer *rollout.Analyzer
 	// resultsSent is when this daemon last published its counts for a move, by service.
@@ -131,7 +133,7 @@
 func New(options Options) *Registry {
 	return &Registry{
 		options: options, entries: make(map[string]storedRecord), removed: make(map[string]removedUpstream),
-		analyzer:    rollout.NewAnalyzer(),
+		analyzer: rollout.NewAnalyzer(), assignments: make(map[string]string),
 		resultsSent: make(map[string]clock.Milli), inherited: make(map[string]results), started: options.Now(),
 		wake: make(chan struct{}, 1),
 	}
--- a/io/registry/state.go
+++ b/io/registry/state.go
@@ -40,6 +40,7 @@
 	view := catalog.NewView(config, upstreams, out)
 	if len(moves) > 0 {
 		view = view.WithRollouts(moves)
+		r.recordAssignments(view, moves)
 	}
 	members := r.activeMembers(now)
 	r.state.Store(&State{
