Keep the versions that ran over several orders of version moves

Cause: a move was kept as the ordered version alone, and all other versions were taken to be those that run. The second order made v2 one of them and put v1 on trial. The new log line shows it: requests go to v2, a share to v1. Ruled out: that daemons learned of the order late, that the lost counts alone did it, retries.

Now the record of a move names the stable versions, those that were ordered and did not become stable, and the trial with its counts, which outlives an interrupting order; each order is taken in turn by rollout.Begin.

Two specs of core/rollout begin an order by Begin in place of Next, with the same expectations.

--- a/core/catalog/view.go
+++ b/core/catalog/view.go
@@ -95,15 +95,7 @@
 	view.canaries = make(map[string][]*Upstream)
 	view.usable = maps.Clone(v.usable)
 	for service, r := range rollouts {
-		var target, rest []*Upstream
-		for _, u := range v.usable[service] {
-			if u.Version == r.Version {
-				target = append(target, u)
-			} else {
-				rest = append(rest, u)
-			}
-		}
-		view.usable[service], view.canaries[service] = r.Stage.assign(target, rest)
+		view.usable[service], view.canaries[service] = r.assign(v.usable[service])
 	}
 
 	return &view
--- a/core/rollout/analyzer.go
+++ b/core/rollout/analyzer.go
@@ -44,9 +44,9 @@
 	rollouts map[string]*rolloutAnalysis
 }
 
-// rolloutAnalysis is the analysis for one order.
+// rolloutAnalysis is the analysis of one trial.
 type rolloutAnalysis struct {
-	order  int64
+	trial  int64
 	routes map[string]*routeAnalysis
 	// doubt is the log-likelihood ratio, between 0 and initialDoubt, of a bad version against a healthy one
 	// (Wald's sequential test). It takes the answers of all routes together, since one may have few requests.
@@ -69,13 +69,13 @@
 
 // Judge takes the sums of all daemons' counts for a rollout, by route, and returns what they show. The version
 // is bad if it is on any route. Only the increase since the sums before is analysed, so that a version that
-// turns bad late is found too. A route that was found bad stays so until there is another order, even if the
+// turns bad late is found too. A route that was found bad stays so until there is another trial, even if the
 // daemon that counted its answers goes.
 func (a *Analyzer) Judge(service string, rollout catalog.Rollout, sums map[string]Counts) Verdict {
 	ra := a.rollouts[service]
-	if ra == nil || ra.order != rollout.OrderRevision {
+	if ra == nil || ra.trial != rollout.Trial {
 		ra = &rolloutAnalysis{
-			order: rollout.OrderRevision, routes: make(map[string]*routeAnalysis), doubt: initialDoubt,
+			trial: rollout.Trial, routes: make(map[string]*routeAnalysis), doubt: initialDoubt,
 		}
 		a.rollouts[service] = ra
 	}
--- a/core/rollout/counter.go
+++ b/core/rollout/counter.go
@@ -1,6 +1,9 @@
 package rollout
 
 import (
+	"maps"
+	"slices"
+
 	"jacinthferry/core/catalog"
 	"jacinthferry/core/clock"
 )
@@ -42,17 +45,17 @@
 	return Counts{c.New + o.New, c.NewFailures + o.NewFailures, c.Old + o.Old, c.OldFailures + o.OldFailures}
 }
 
+// maxTrials is how many trials of a service a Counter counts at a time.
+const maxTrials = 4
+
 // Counter counts the answers that one daemon gets from services with a rollout. It does so for each route,
 // because a version may be bad on one route only. It is not safe for concurrent use.
 type Counter struct {
-	rollouts map[string]*rolloutCounter
+	services map[string]map[int64]trialCounter
 }
 
-// rolloutCounter counts for one order.
-type rolloutCounter struct {
-	order  int64
-	routes map[string]*routeCounter
-}
+// trialCounter counts for one trial, by route.
+type trialCounter map[string]*routeCounter
 
 // routeCounter counts on one route. Latency is the average over the old version's good answers, of which
 // there were samples.
@@ -63,21 +66,15 @@
 }
 
 // NewCounter returns a counter without any answers.
-func NewCounter() *Counter { return &Counter{rollouts: make(map[string]*rolloutCounter)} }
+func NewCounter() *Counter { return &Counter{services: make(map[string]map[int64]trialCounter)} }
 
-// Add counts an answer of a service with a rollout. The first answer under another order drops the counts of
-// the order before.
+// Add counts an answer of a service with a rollout, which may be an earlier one than that of the last answer. A stable
+// version needs no trial, and versions that are withheld are not compared with.
 func (c *Counter) Add(rollout catalog.Rollout, a Sample) {
-	rc := c.rollouts[a.Service]
-	if rc == nil || rc.order != rollout.OrderRevision {
-		rc = &rolloutCounter{order: rollout.OrderRevision, routes: make(map[string]*routeCounter)}
-		c.rollouts[a.Service] = rc
-	}
-	r := rc.routes[a.Route]
-	if r == nil {
-		r = &routeCounter{}
-		rc.routes[a.Route] = r
+	if rollout.IsStable(rollout.Version) || rollout.Withholds(a.Version) {
+		return
 	}
+	r := c.trial(a.Service, rollout.Trial).route(a.Route)
 	if a.Version == rollout.Version {
 		r.counts = r.counts.Add(Counts{New: 1, NewFailures: r.failureWeight(a)})
 
@@ -87,14 +84,43 @@
 	r.addLatency(a)
 }
 
-// Counts returns the counts of a service's rollout by route, or nil if there are none.
+// trial returns the counter of a trial and creates it if necessary, in place of the one that began first if there are
+// too many.
+func (c *Counter) trial(service string, id int64) trialCounter {
+	trials := c.services[service]
+	if trials == nil {
+		trials = make(map[int64]trialCounter)
+		c.services[service] = trials
+	}
+	if trials[id] == nil {
+		if len(trials) == maxTrials {
+			delete(trials, slices.Min(slices.Collect(maps.Keys(trials))))
+		}
+		trials[id] = make(trialCounter)
+	}
+
+	return trials[id]
+}
+
+// route returns the counter of a route and creates it if necessary.
+func (t trialCounter) route(name string) *routeCounter {
+	r := t[name]
+	if r == nil {
+		r = &routeCounter{}
+		t[name] = r
+	}
+
+	return r
+}
+
+// Counts returns the counts of the trial of a service's rollout by route, or nil if there are none.
 func (c *Counter) Counts(service string, rollout catalog.Rollout) map[string]Counts {
-	rc := c.rollouts[service]
-	if rc == nil || rc.order != rollout.OrderRevision {
+	t := c.services[service][rollout.Trial]
+	if t == nil {
 		return nil
 	}
-	list := make(map[string]Counts, len(rc.routes))
-	for name, r := range rc.routes {
+	list := make(map[string]Counts, len(t))
+	for name, r := range t {
 		list[name] = r.counts
 	}
 
--- a/core/rollout/rollout.go
+++ b/core/rollout/rollout.go
@@ -13,6 +13,8 @@
 	MaxDuration clock.Milli
 	// Revision is the store's revision of the order, which is higher for a later order.
 	Revision int64
+	// Repeated is set if there was another order for the service before.
+	Repeated bool
 	// Seen is when this daemon learned of the order.
 	Seen clock.Milli
 }
@@ -47,26 +49,26 @@
 	shiftDuration = 3 * clock.Second
 )
 
-// Next returns the progress that follows current, or current and false while no step is due. Current is
-// the zero value before the first step, and verdict is what the answers of the new version show. A version
-// whose answers are too few to tell stays a canary for longer and is rolled back when the time is up.
+// Next returns the progress that follows current, or current and false while no step is due. Current is what
+// Begin returned or a later progress, and verdict is what the answers of the new version show. A version whose
+// answers are too few to tell stays a canary for longer and is rolled back when the time is up.
 func Next(now clock.Milli, order Order, current Progress, verdict Verdict) (Progress, bool) {
 	enter := func(stage catalog.Stage) (Progress, bool) {
-		rollout := catalog.Rollout{Version: order.Version, Stage: stage, OrderRevision: order.Revision}
+		rollout := current.Rollout
+		rollout.Stage = stage
 
 		return Progress{Rollout: rollout, Seen: now}, true
 	}
-	if current.Rollout.OrderRevision > order.Revision {
+	if current.Rollout.OrderRevision != order.Revision {
 		// This daemon has yet to learn of the newer order that others follow.
 		return current, false
 	}
-	if current.Rollout.OrderRevision < order.Revision {
-		return enter(catalog.Canary)
-	}
 	stage := current.Rollout.Stage
 	switch {
 	case stage.Final():
 		return current, false
+	case current.Rollout.IsStable(order.Version) && verdict != Healthy:
+		return current, false
 	case verdict == Regressed:
 		return enter(catalog.RolledBack)
 	case stage == catalog.Canary && verdict == Healthy && now >= order.Seen+order.canaryDuration():
--- a/core/rollout/rollout_test.go
+++ b/core/rollout/rollout_test.go
@@ -17,7 +17,8 @@
 
 // follow carries an order out and returns the stages with the times after the order at which they begin.
 func follow(verdict func(now clock.Milli) rollout.Verdict) (stages []catalog.Stage, at []clock.Milli) {
-	var p rollout.Progress
+	p := rollout.Begin(start, order, rollout.Progress{}, nil)
+	stages, at = append(stages, p.Rollout.Stage), append(at, 0)
 	for now := start; now < start+order.MaxDuration; now += 100 {
 		next, changed := rollout.Next(now, order, p, verdict(now))
 		if changed {
@@ -76,9 +77,10 @@
 		done := rollout.Progress{Rollout: catalog.Rollout{Version: "v2", Stage: catalog.RolledBack, OrderRevision: order.Revision}}
 		again := order
 		again.Revision++
-		p, changed := rollout.Next(start, again, done, rollout.Undecided)
-		Expect(changed).To(BeTrue())
-		Expect(p.Rollout).To(Equal(catalog.Rollout{Version: "v2", Stage: catalog.Canary, OrderRevision: again.Revision}))
+		p := rollout.Begin(start, again, done, nil)
+		Expect(p.Rollout).To(Equal(catalog.Rollout{
+			Version: "v2", Stage: catalog.Canary, OrderRevision: again.Revision, Trial: again.Revision,
+		}))
 	})
 
 	It("does not change the progress of a newer order", func() {
@@ -123,7 +125,7 @@
 }
 
 var _ = Describe("The analyzer", func() {
-	canary := catalog.Rollout{Version: "v2", Stage: catalog.Canary, OrderRevision: 7}
+	canary := catalog.Rollout{Version: "v2", Stage: catalog.Canary, OrderRevision: 7, Trial: 7}
 	healthy := behaviour{failureRate: 0.01, slowRate: 0.04, slowFactor: 10}
 
 	// simulate sends n requests, a tenth of them to the new version, and returns how many failures and slow
@@ -208,6 +210,7 @@
 		}
 		next := canary
 		next.OrderRevision++
+		next.Trial++
 		Expect(m.analyse("s", next)).To(Equal(rollout.Undecided))
 		m.add(next, rollout.Sample{Service: "s", Route: "r", Version: "v2", OK: true, Latency: 10})
 		Expect(m.analyse("s", next)).To(Equal(rollout.Undecided))
@@ -215,7 +218,7 @@
 })
 
 var _ = Describe("The sums of several daemons", func() {
-	canary := catalog.Rollout{Version: "v2", Stage: catalog.Canary, OrderRevision: 7}
+	canary := catalog.Rollout{Version: "v2", Stage: catalog.Canary, OrderRevision: 7, Trial: 7}
 
 	// detect simulates daemons that each get few answers, and returns after how many answers of the new
 	// version they find it bad together, and whether they do. The first goodAnswers of them are good and are
--- a/io/registry/entries.go
+++ b/io/registry/entries.go
@@ -45,6 +45,9 @@
 	r.mergeCrashes(old.record.Crashes, record.Crashes)
 	r.recordChange(&old.record, &record, e)
 	r.entries[e.Key] = storedRecord{record: record, revision: e.Revision, assumed: how == keepKnown}
+	if record.Kind == Order && r.loaded {
+		r.beginMove(now, record.Order)
+	}
 
 	return true
 }
--- a/io/registry/moves.go
+++ b/io/registry/moves.go
@@ -24,15 +24,28 @@
 const moveWatchTimeout = clock.Second
 
 type moveRecord struct {
-	Order   int64         `json:"order"`
-	Version string        `json:"version"`
-	Stage   catalog.Stage `json:"stage"`
+	Order    int64         `json:"order"`
+	Version  string        `json:"version"`
+	Stage    catalog.Stage `json:"stage"`
+	Trial    int64         `json:"trial"`
+	Stable   []string      `json:"stable"`
+	Withheld []trialRecord `json:"withheld,omitempty"`
+}
+
+// trialRecord is a version that was ordered before, and the number of its trial or 0.
+type trialRecord struct {
+	Version string `json:"version"`
+	Trial   int64  `json:"trial,omitempty"`
 }
 
 func moveKey(service string) string { return movePrefix + service }
 
 func encodeMove(m catalog.Rollout) (string, error) {
-	text, err := json.Marshal(moveRecord{Order: m.OrderRevision, Version: m.Version, Stage: m.Stage})
+	record := moveRecord{Order: m.OrderRevision, Version: m.Version, Stage: m.Stage, Trial: m.Trial, Stable: m.Stable}
+	for _, t := range m.Withheld {
+		record.Withheld = append(record.Withheld, trialRecord{Version: t.Version, Trial: t.Revision})
+	}
+	text, err := json.Marshal(record)
 
 	return string(text), err //nolint:wrapcheck // Strings and numbers are always encoded.
 }
@@ -43,20 +56,63 @@
 		return Record{}, err //nolint:wrapcheck // The caller logs it with the key.
 	}
 
-	return Record{Kind: Progress, Progress: rollout.Progress{
-		Rollout: catalog.Rollout{Version: m.Version, Stage: m.Stage, OrderRevision: m.Order}, Seen: now,
-	}}, nil
+	move := catalog.Rollout{Version: m.Version, Stage: m.Stage, OrderRevision: m.Order, Trial: m.Trial, Stable: m.Stable}
+	if move.Trial == 0 {
+		// Daemons of earlier releases write no trial.
+		move.Trial = m.Order
+	}
+	for _, t := range m.Withheld {
+		move.Withheld = append(move.Withheld, catalog.Trial{Version: t.Version, Revision: t.Trial})
+	}
+
+	return Record{Kind: Progress, Progress: rollout.Progress{Rollout: move, Seen: now}}, nil
 }
 
-// currentMove returns the move that an order asks for, at its current stage. Until the first stage is
-// recorded, the move is at the trial stage, so that the new version gets no more than trial traffic.
-func (r *Registry) currentMove(o rollout.Order) catalog.Rollout {
-	p := r.entries[moveKey(o.Service)].record.Progress
-	if p.Rollout.OrderRevision != o.Revision {
-		return catalog.Rollout{Version: o.Version, Stage: catalog.Canary, OrderRevision: o.Revision}
+// beginMoves begins the version moves whose orders are later than what is known of their progress.
+func (r *Registry) beginMoves(now clock.Milli) {
+	for _, s := range r.entries {
+		if s.record.Kind == Order {
+			r.beginMove(now, s.record.Order)
+		}
+	}
+}
+
+// beginMove begins the version move of an order, unless it has begun. It does so in memory, before anything is
+// recorded, so that a new version gets no more than trial traffic and each of several orders is taken into account.
+// A move that began in an earlier generation goes on under the revision that its order has now.
+func (r *Registry) beginMove(now clock.Milli, o rollout.Order) {
+	key := moveKey(o.Service)
+	s := r.entries[key]
+	before := s.record.Progress
+	switch {
+	case before.Rollout.OrderRevision >= o.Revision:
+		return
+	case before.Rollout.Version == o.Version &&
+		store.Generation(before.Rollout.OrderRevision) < store.Generation(o.Revision):
+		r.adoptMove(o)
+
+		return
+	}
+	var upstreams []*catalog.Upstream
+	for _, e := range r.entries {
+		if e.record.Kind == Upstream && e.record.Upstream.Service == o.Service {
+			upstreams = append(upstreams, e.record.Upstream)
+		}
 	}
+	s.record = Record{Kind: Progress, Progress: rollout.Begin(now, o, before, upstreams)}
+	s.assumed = true
+	r.entries[key] = s
+	m := s.record.Progress.Rollout
+	r.recordEvent(event.Event{
+		Kind: event.Move, Service: o.Service, Version: o.Version, Revision: uint64(o.Revision),
+		Detail: fmt.Sprintf("%s, stable %v, withheld %v", m.Stage, m.Stable, m.Withheld),
+	})
+}
 
-	return p.Rollout
+// currentMove returns the move that an order asks for at its current stage, or that of a later order which this daemon
+// has yet to learn of.
+func (r *Registry) currentMove(o rollout.Order) catalog.Rollout {
+	return r.entries[moveKey(o.Service)].record.Progress.Rollout
 }
 
 // moveInProgress reports whether a version move has not reached its final stage.
@@ -94,8 +150,8 @@
 	verdict := r.judge(o.Service, move)
 	next, changed := rollout.Next(now, o, stored.record.Progress, verdict)
 	if !changed && stored.assumed {
-		// The store lost the stage.
-		if _, err := r.writeMove(ctx, now, o.Service, next.Rollout, stored.revision); err != nil {
+		// The move has just begun, or the store lost its stage.
+		if done, err := r.writeMove(ctx, now, o.Service, next.Rollout, stored.revision); err != nil || !done {
 			return err
 		}
 	}
--- a/io/registry/registry.go
+++ b/io/registry/registry.go
@@ -224,7 +224,7 @@
 	r.watchRevision = max(r.watchRevision, revision)
 	r.lastContact.Store(int64(now))
 	if changed {
-		r.adoptMoves()
+		r.beginMoves(now)
 		r.publish(now)
 	}
 
@@ -295,12 +295,12 @@
 		r.apply(now, e)
 	}
 	r.listing = false
-	r.adoptMoves()
 	for key := range r.entries {
 		if !seen[key] {
 			r.handleDeletion(now, key)
 		}
 	}
+	r.beginMoves(now)
 	r.inheritResults()
 	r.inheritCrashes()
 	r.watchRevision, r.loaded = revision, true
--- a/io/registry/registry_test.go
+++ b/io/registry/registry_test.go
@@ -42,16 +42,17 @@
 	writes      int
 }
 
-// decode decodes "upstream SERVICE", "upstream SERVICE draining", "config VERSION", "order VERSION", "report TEXT" and
-// "out ZONE". A configuration without a version has the store's revision as its version.
+// decode decodes "upstream SERVICE", "upstream SERVICE draining", "upstream SERVICE VERSION START", "config VERSION",
+// "order VERSION", "report TEXT" and "out ZONE". A configuration without a version has the store's revision as its version.
 func decode(e store.Entry, now clock.Milli) (registry.Record, error) {
 	kind, rest, _ := strings.Cut(e.Value, " ")
 	rest, draining := strings.CutSuffix(rest, " draining")
 	switch kind {
 	case "upstream":
-		return registry.Record{Kind: registry.Upstream, Upstream: &catalog.Upstream{
-			ID: e.Key, Service: rest, Zone: "a", Slots: 1, Seen: now, Draining: draining,
-		}}, nil
+		u := &catalog.Upstream{ID: e.Key, Zone: "a", Slots: 1, Seen: now, Draining: draining}
+		_, _ = fmt.Sscan(rest, &u.Service, &u.Version, &u.StartUnixMilli)
+
+		return registry.Record{Kind: registry.Upstream, Upstream: u}, nil
 	case "config":
 		version, err := strconv.ParseInt(rest, 10, 64)
 		if err != nil {
@@ -64,6 +65,7 @@
 	case "order":
 		return registry.Record{Kind: registry.Order, Order: rollout.Order{
 			Service: "s", Version: rest, MaxDuration: 40 * clock.Second, Revision: e.Revision, Seen: now,
+			Repeated: e.Created != 0 && e.Created < e.Revision,
 		}}, nil
 	case "report":
 		return registry.Record{Kind: registry.Report, Text: e.Value}, nil
@@ -157,7 +159,10 @@
 // put writes an entry, and remove deletes one. Both queue the change for the next watch.
 func (r *harness) put(key, value string) {
 	r.revision++
-	e := store.Entry{Key: key, Value: value, Revision: r.revision}
+	e := store.Entry{Key: key, Value: value, Revision: r.revision, Created: r.revision}
+	if old, known := r.entries[key]; known {
+		e.Created = old.Created
+	}
 	r.entries[key] = e
 	r.pending = append(r.pending, e)
 }
@@ -179,7 +184,7 @@
 		r.revision, r.pending = renumbered(revision), nil
 		clear(r.entries)
 		for key, e := range entries {
-			e.Revision = renumbered(e.Revision)
+			e.Revision, e.Created = renumbered(e.Revision), renumbered(e.Created)
 			r.entries[key] = e
 		}
 	}
--- a/io/registry/restore.go
+++ b/io/registry/restore.go
@@ -95,12 +95,12 @@
 	return old, takeStored
 }
 
-// reconcileOrder keeps an order that differs from the one in the backup. One that is rewritten with the same content
-// is the same order, which began when it was first seen.
+// reconcileOrder keeps an order that differs from the one in the backup or from an earlier one that is rewritten. One
+// that is rewritten with the same content is the same order, which began when it was first seen.
 func (r *Registry) reconcileOrder(old, record Record) (Record, resolution) {
 	before, after := old.Order, record.Order
 	same := before.Version == after.Version && before.MaxDuration == after.MaxDuration
-	if r.listing && !same {
+	if r.restoredUntil != 0 && !same {
 		return old, keepKnown
 	}
 	if same && (r.restoredUntil != 0 || store.Generation(before.Revision) < store.Generation(after.Revision)) {
@@ -132,21 +132,6 @@
 	return record, takeStored
 }
 
-// adoptMoves lets the version moves that began in an earlier generation go on under the revisions that their orders
-// have now.
-func (r *Registry) adoptMoves() {
-	for _, s := range r.entries {
-		if s.record.Kind != Order {
-			continue
-		}
-		o := s.record.Order
-		move := r.entries[moveKey(o.Service)].record.Progress.Rollout
-		if move.Version == o.Version && store.Generation(move.OrderRevision) < store.Generation(o.Revision) {
-			r.adoptMove(o)
-		}
-	}
-}
-
 // adoptMove lets a version move go on under the revision of an order.
 func (r *Registry) adoptMove(o rollout.Order) {
 	key := moveKey(o.Service)
--- a/io/registry/results.go
+++ b/io/registry/results.go
@@ -19,15 +19,15 @@
 // resultsInterval is the shortest time between two writes of a daemon's counts for a service.
 const resultsInterval = clock.Second
 
-// results holds one daemon's request counts, by route, for the move that an order asks for.
+// results holds one daemon's request counts, by route, for a trial.
 type results struct {
 	Service string
-	Order   int64
+	Trial   int64
 	Routes  map[string]rollout.Counts
 }
 
 type resultsRecord struct {
-	Order  int64                   `json:"order"`
+	Trial  int64                   `json:"order"`
 	Routes map[string]countsRecord `json:"routes"`
 }
 
@@ -41,7 +41,7 @@
 func resultsKey(service, daemon string) string { return resultsPrefix + service + "/" + daemon }
 
 func (r results) encode() (string, error) {
-	record := resultsRecord{Order: r.Order, Routes: make(map[string]countsRecord, len(r.Routes))}
+	record := resultsRecord{Trial: r.Trial, Routes: make(map[string]countsRecord, len(r.Routes))}
 	for name, c := range r.Routes {
 		record.Routes[name] = countsRecord(c)
 	}
@@ -56,7 +56,7 @@
 		return Record{}, err //nolint:wrapcheck // The caller logs it with the key.
 	}
 	service, _, _ := strings.Cut(strings.TrimPrefix(e.Key, resultsPrefix), "/")
-	decoded := results{Service: service, Order: record.Order, Routes: make(map[string]rollout.Counts, len(record.Routes))}
+	decoded := results{Service: service, Trial: record.Trial, Routes: make(map[string]rollout.Counts, len(record.Routes))}
 	for name, c := range record.Routes {
 		decoded.Routes[name] = rollout.Counts(c)
 	}
@@ -65,13 +65,16 @@
 }
 
 // judge returns what the sum of all daemons' counts shows of the new version. One daemon alone may see too few
-// requests to tell.
+// requests to tell. A stable version is healthy once one of its upstreams takes requests.
 func (r *Registry) judge(service string, m catalog.Rollout) rollout.Verdict {
+	if m.IsStable(m.Version) {
+		return r.judgeStable(service, m.Version)
+	}
 	sums := make(map[string]rollout.Counts)
 	own := resultsKey(service, r.options.Self.Name)
 	for key, s := range r.entries {
 		res := &s.record.Results
-		if s.record.Kind != Results || key == own || res.Service != service || res.Order != m.OrderRevision {
+		if s.record.Kind != Results || key == own || res.Service != service || res.Trial != m.Trial {
 			continue
 		}
 		addCounts(sums, res.Routes)
@@ -81,10 +84,20 @@
 	return r.analyzer.Judge(service, m, sums)
 }
 
+func (r *Registry) judgeStable(service, version string) rollout.Verdict {
+	for _, u := range r.View().Usable(service) {
+		if u.Version == version {
+			return rollout.Healthy
+		}
+	}
+
+	return rollout.Undecided
+}
+
 // ownCounts returns this daemon's counts for a move, with those of its previous run, by route.
 func (r *Registry) ownCounts(service string, m catalog.Rollout) map[string]rollout.Counts {
 	sums := make(map[string]rollout.Counts)
-	if before := r.inherited[service]; before.Order == m.OrderRevision {
+	if before := r.inherited[service]; before.Trial == m.Trial {
 		addCounts(sums, before.Routes)
 	}
 	addCounts(sums, r.options.Counts(service, m))
@@ -116,7 +129,7 @@
 	if m.Stage.Final() {
 		return r.deleteResults(ctx, service)
 	}
-	mine := results{Service: service, Order: m.OrderRevision, Routes: r.ownCounts(service, m)}
+	mine := results{Service: service, Trial: m.Trial, Routes: r.ownCounts(service, m)}
 	key := resultsKey(service, r.options.Self.Name)
 	stored := r.entries[key]
 	if len(mine.Routes) == 0 || now < r.resultsSent[service]+resultsInterval ||
--- a/io/store/port.go
+++ b/io/store/port.go
@@ -20,6 +20,8 @@
 	Value string
 	// Revision is the store revision of the last write to the key; see NewRevision.
 	Revision int64
+	// Created is the store revision of the write that created the key, or 0 if it is not known.
+	Created int64
 	// Deleted is set in the result of a watch for a key that was deleted.
 	Deleted bool
 }
--- a/standin/platform/store.go
+++ b/standin/platform/store.go
@@ -131,7 +131,11 @@
 		return store.WriteResult{}, reason.NewRefusal(reason.Lapsed, reason.NotExecuted, "lease does not exist")
 	}
 	s.revision++
-	s.items[key] = item{store.Entry{Key: key, Value: value, Revision: s.revision}, lease}
+	created := current.Created
+	if current.Revision == 0 {
+		created = s.revision
+	}
+	s.items[key] = item{store.Entry{Key: key, Value: value, Revision: s.revision, Created: created}, lease}
 	delete(s.deleted, key)
 	s.notifyWatches()
 
