Count long headers of upstreams for as long as their answers are kept

Report of other operators: bytes without end ran a daemon out of memory. Those were bounded; headers that end just below their limit were not, as the memory for them was given back once they were read. 40 requests waiting for one mute shard of 60 held 163 MiB, where 92 MiB is half of the smallest machine. A shard's header is dropped now, and one that is forwarded counts until the answer is released.

--- a/io/gateway/call.go
+++ b/io/gateway/call.go
@@ -77,7 +77,7 @@
 	Pause   clock.Milli
 	// Warmup is how much longer the upstream needs to warm up.
 	Warmup clock.Milli
-	// held is how many bytes of the memory for responses the body holds.
+	// held is how many bytes of the memory for responses the header and the body hold.
 	held int
 }
 
--- a/io/gateway/conn.go
+++ b/io/gateway/conn.go
@@ -114,6 +114,8 @@
 
 // readResponse reads one final response with its body and reports whether the connection stays open.
 func (c *conn) readResponse(codec *Codec, method string, limit int) (*UpstreamResponse, bool, error) {
+	// Releases what the header holds unless a reply takes it over.
+	defer c.release()
 	response, err := c.readHead(method)
 	if err != nil {
 		return nil, false, errors.Wrap(err, "gateway: no answer")
@@ -128,15 +130,16 @@
 		return nil, false, err
 	}
 	reply := codec.Decode(response.StatusCode, response.Header)
-	reply.Status, reply.Header, reply.Body, reply.held = response.StatusCode, response.Header, body, held
+	reply.Status, reply.Header, reply.Body = response.StatusCode, response.Header, body
+	reply.held, c.held = held+c.held, 0
 
 	return &reply, !response.Close, nil
 }
 
-// readHead reads the status and header of one final response, skipping 1xx responses.
+// readHead reads the status and header of one final response, skipping 1xx responses. The header holds memory until
+// the caller calls release.
 func (c *conn) readHead(method string) (*http.Response, error) {
 	c.beginHead()
-	defer c.release()
 	request := &http.Request{Method: method}
 	for range interimLimit + 1 {
 		response, err := http.ReadResponse(c.reader, request)
--- a/io/gateway/endless_test.go
+++ b/io/gateway/endless_test.go
@@ -37,6 +37,8 @@
 	pause time.Duration
 	// malformed is set if the bytes are refused for their form before they are too many.
 	malformed bool
+	// once is set if the server sends start only, which is a response, to each request on a connection.
+	once bool
 }
 
 const (
@@ -103,6 +105,9 @@
 			continue
 		}
 		_, err = io.WriteString(c, s.kind.start)
+		if s.kind.once {
+			continue
+		}
 		for err == nil {
 			_, err = io.WriteString(c, s.kind.part)
 			time.Sleep(s.kind.pause)
@@ -286,6 +291,31 @@
 		})
 	}
 
+	// Guards against headers that count for nothing once they are read: daemons ran out of memory while answers waited
+	// for their last shard.
+	It("cost little memory when headers nearly as long as allowed end and requests wait for another shard", func() {
+		const waiting = 40
+		long := &endless{start: okHead + "Content-Length: 16\r\n" + strings.Repeat("X: "+strings.Repeat("y", 1000)+"\r\n", 60) +
+			"\r\n" + strings.Repeat("z", 16), once: true}
+		mute := &endless{part: "H", pause: patience.Duration()}
+		upstreams := []*catalog.Upstream{newEndlessServer("s0-a", "s0", mute).upstream}
+		for i := 1; i < manyShards; i++ {
+			service := fmt.Sprint("s", i)
+			upstreams = append(upstreams, newEndlessServer(service+"-a", service, long).upstream)
+		}
+		g, _ := newGateway(manyShards, 2*timeout, 2*timeout, upstreams)
+		peak := watchHeap()
+		var wg sync.WaitGroup
+		for range waiting {
+			wg.Go(func() { send(g, "/all/1") })
+		}
+		wg.Wait()
+		used := peak()
+		AddReportEntry("long headers", fmt.Sprintf("%d MiB", used>>20))
+		Expect(used).To(BeNumerically("<", heapLimit))
+		Eventually(g.HeldMemory).WithTimeout(2 * time.Second).Should(BeZero())
+	})
+
 	It("are not taken for crashed, and a large body in full is forwarded while they send", func() {
 		kind := &endlessKinds[4]
 		upstreams := []*catalog.Upstream{newEndlessServer("s0-a", "s0", nil).upstream}
--- a/io/gateway/memory.go
+++ b/io/gateway/memory.go
@@ -18,6 +18,8 @@
 	// freeSize is how many bytes of each header and of each body do not count towards the shared memory. Ordinary
 	// responses are read even while other upstreams send as much as they can.
 	freeSize = 4 << 10
+	// maxStampBytes is the longest signature of a shard's response. An answer holds those of all shards.
+	maxStampBytes = 1 << 10
 	// minBodyBuffer is the smallest buffer in bytes for a body.
 	minBodyBuffer = 512
 )
@@ -91,9 +93,13 @@
 	}
 }
 
-// reduce replaces a large body of a shard by its top greatest records, which is all that an answer takes of it, and
-// releases the memory of the rest.
+// reduce drops what an answer does not take of a shard's response: the header and, of a large body, all but the top
+// greatest records. It releases the memory of these. A signature that is too long counts as missing.
 func (m *responseMemory) reduce(reply *UpstreamResponse, top int) {
+	reply.Header = nil
+	if len(reply.Stamp) > maxStampBytes {
+		reply.Stamp = ""
+	}
 	if reply.held == 0 {
 		return
 	}
