Bound what upstreams of serve may send

Upstreams that send bytes without end, in a header or a body, made a daemon keep 252 to 1,009 MiB with 60 upstreams and two legs each. Cause: the transport to upstreams was built without the limits of the other clients, and net/http reads 10 MiB of a header by default; bodies of 4 MiB had no bound together. Headers are held to 16 KiB, and large answers take from a memory that all upstreams of a daemon share.

The caller's client limits headers too; no spec of its own.

--- a/client/entries.go
+++ b/client/entries.go
@@ -296,6 +296,8 @@
 	dialTimeout     = 500 * time.Millisecond
 	idleTimeout     = time.Minute
 	idleConnections = 256
+	// maxHeaderBytes is the size of the largest header of a response.
+	maxHeaderBytes = 64 << 10
 )
 
 // Transport returns a new transport with the default limits, which a client uses for one daemon unless
@@ -306,5 +308,7 @@
 		MaxIdleConns:        idleConnections,
 		MaxIdleConnsPerHost: idleConnections,
 		IdleConnTimeout:     idleTimeout,
+
+		MaxResponseHeaderBytes: maxHeaderBytes,
 	}
 }
--- a/io/daemon/upstreams.go
+++ b/io/daemon/upstreams.go
@@ -14,6 +14,7 @@
 	"jacinthferry/core/home"
 	"jacinthferry/core/leg"
 	"jacinthferry/core/reason"
+	"jacinthferry/io/rpc"
 	"jacinthferry/io/secure"
 	"jacinthferry/io/settings"
 	"jacinthferry/io/timer"
@@ -29,15 +30,23 @@
 	credentials *secure.Credentials
 	group       *traffic.Group
 	record      func(event.Event)
+	// memory is shared by the answers of all upstreams.
+	memory *rpc.ResponseMemory
 
 	mu    sync.Mutex
 	pools map[string]*upstream.Pool
 }
 
 func newUpstreams(ctx context.Context, s settings.Home, now func() clock.Milli, creds *secure.Credentials) *upstreams {
-	return &upstreams{ctx: ctx, settings: s, now: now, credentials: creds, pools: make(map[string]*upstream.Pool)}
+	return &upstreams{
+		ctx: ctx, settings: s, now: now, credentials: creds, pools: make(map[string]*upstream.Pool),
+		memory: rpc.NewResponseMemory(responseMemoryBytes),
+	}
 }
 
+// responseMemoryBytes is how much memory the large answers of upstreams may hold together while they are read.
+const responseMemoryBytes = 64 << 20
+
 // inspectInterval is the time between two inspections of the connections.
 const inspectInterval = 100 * time.Millisecond
 
@@ -78,6 +87,7 @@
 	p := upstream.NewPool(c.Address, upstream.Options{
 		Now: u.now, MaxConnections: c.MaxConnections, Slots: c.Slots, OverrunMargin: u.settings.OverrunMargin,
 		Credentials: u.credentials, SilenceTimeout: u.settings.SilenceTimeout, MaxIdleForSubmit: u.settings.MaxIdleForSubmit,
+		ResponseMemory: u.memory,
 		OnConnectionFailure: func(code reason.Code) {
 			u.record(event.Event{Kind: event.Connection, Reason: code, Upstream: c.Name})
 			u.group.HandleConnectionFailure(c.Name, code)
--- a/io/rpc/http.go
+++ b/io/rpc/http.go
@@ -13,10 +13,12 @@
 	"jacinthferry/io/secure"
 )
 
-// Limits and timeouts of every HTTP server and client. No request takes longer than
+// MaxHeaderBytes is the size of the largest header that a server or client reads, in bytes.
+const MaxHeaderBytes = 16 << 10
+
+// Timeouts of every HTTP server and client. No request takes longer than
 // readTimeout; a server's writeTimeout and a client's responseTimeout are longer.
 const (
-	headerLimit     = 16 << 10
 	headerTimeout   = 5 * time.Second
 	readTimeout     = 60 * time.Second
 	writeTimeout    = 75 * time.Second
@@ -47,7 +49,7 @@
 		Handler:           handler,
 		Protocols:         protocols(),
 		TLSConfig:         creds.ServerConfig(),
-		MaxHeaderBytes:    headerLimit,
+		MaxHeaderBytes:    MaxHeaderBytes,
 		ReadHeaderTimeout: headerTimeout,
 		ReadTimeout:       readTimeout,
 		WriteTimeout:      writeTimeout,
@@ -97,7 +99,7 @@
 		MaxIdleConnsPerHost:    max(connections, 8),
 		IdleConnTimeout:        idleTimeout,
 		ResponseHeaderTimeout:  responseTimeout,
-		MaxResponseHeaderBytes: headerLimit,
+		MaxResponseHeaderBytes: MaxHeaderBytes,
 	}
 
 	c := &http.Client{
--- a/io/upstream/pool.go
+++ b/io/upstream/pool.go
@@ -35,6 +35,8 @@
 	Credentials *secure.Credentials
 	// OnConnectionFailure is called when a connection breaks that this side did not close, or is retired.
 	OnConnectionFailure func(code reason.Code)
+	// ResponseMemory limits what the large answers of all upstreams hold while they are read. It may be nil.
+	ResponseMemory *rpc.ResponseMemory
 }
 
 // Pool is the client of an upstream's home. It limits and monitors the connections, and reports what
@@ -55,17 +57,28 @@
 	s := newConnectionSet(address, o)
 	transport := &http.Transport{
 		DialContext: s.dialContext, MaxConnsPerHost: s.limit, MaxIdleConnsPerHost: s.limit, IdleConnTimeout: idleTimeout,
+		MaxResponseHeaderBytes: rpc.MaxHeaderBytes,
+	}
+	singleUse := &http.Transport{
+		DialContext: s.dialContext, DisableKeepAlives: true, MaxResponseHeaderBytes: rpc.MaxHeaderBytes,
 	}
-	singleUse := &http.Transport{DialContext: s.dialContext, DisableKeepAlives: true}
 
 	return &Pool{
-		options: o, connections: s, transport: transport,
-		client:    NewClient(address, &http.Client{Transport: rpc.WithSecret(o.Credentials, transport)}, o.Now),
-		probe:     NewClient(address, &http.Client{Transport: rpc.WithSecret(o.Credentials, singleUse)}, o.Now),
-		semaphore: make(chan struct{}, s.limit),
+		options: o, connections: s, transport: transport, client: o.newClient(address, transport),
+		probe: o.newClient(address, singleUse), semaphore: make(chan struct{}, s.limit),
 	}
 }
 
+// newClient returns a client that uses the transport within the memory for responses.
+func (o *Options) newClient(address string, transport *http.Transport) *Client {
+	tripper := rpc.WithSecret(o.Credentials, transport)
+	if o.ResponseMemory != nil {
+		tripper = o.ResponseMemory.Limit(tripper)
+	}
+
+	return NewClient(address, &http.Client{Transport: tripper}, o.Now)
+}
+
 // idleTimeout is how long an unused connection is kept open. It is shorter than the idle timeout of
 // servers, so that they do not close the connection first.
 const idleTimeout = 30 * time.Second
