Heed an upstream's entry that names a warm-up again

Cause: the balancer took the warm-up from the entry only when it first heard of the process. Now the latest end that an entry names counts whenever the upstream is considered.

--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -259,10 +259,7 @@
 
 // ExtendWarmup records that the upstream is cold until an instant. It never ends the warm-up earlier.
 func (b *Balancer) ExtendWarmup(now, until clock.Milli, u *catalog.Upstream) {
-	s := b.state(now, u)
-	if until > s.warmupEnd {
-		s.warmupEnd, s.refilled = until, now
-	}
+	b.state(now, u).extendWarmup(now, until)
 }
 
 // Prune removes the state of upstreams that have not been heard of for stateTTL, have no request in flight and may
@@ -309,9 +306,13 @@
 func (b *Balancer) state(now clock.Milli, u *catalog.Upstream) *state {
 	s := b.states[u.Key()]
 	if s == nil {
-		s = &state{warmupEnd: u.Seen + u.Warmup, refilled: now, updated: now}
+		s = &state{refilled: now, updated: now}
 		b.states[u.Key()] = s
 	}
+	if u.Warmup > 0 {
+		// Its entry may say that it is cold again.
+		s.extendWarmup(now, u.Seen+u.Warmup)
+	}
 
 	return s
 }
@@ -400,6 +401,17 @@
 	return len(s.inFlight) > 0 && now-s.inFlight[0] > max(stallMinAge, stallFactor*s.expectedLatency(now))
 }
 
+// extendWarmup records that the upstream is cold until an instant. It never ends the warm-up earlier.
+func (s *state) extendWarmup(now, until clock.Milli) {
+	if until <= s.warmupEnd {
+		return
+	}
+	if now >= s.warmupEnd {
+		s.tokens = 0
+	}
+	s.warmupEnd, s.refilled = until, now
+}
+
 // warmupAllows reports whether the upstream is warm or its token bucket has a token for one more
 // request. Rate is in requests a second.
 func (s *state) warmupAllows(now clock.Milli, rate float64) bool {
--- a/core/balance/balance_test.go
+++ b/core/balance/balance_test.go
@@ -140,6 +140,36 @@
 		Expect(total).To(BeNumerically("<=", rate*1.5+5))
 		Expect(total).To(BeNumerically(">", rate/2))
 	})
+
+	// Guards against review/3: an entry that named a warm-up again was not heeded, and the full load crashed the upstream.
+	It("keeps all daemons together within that rate when the upstream's entry says that it is cold again", func() {
+		const daemons, rate = 7, 40
+		cold := catalog.Service{Name: "s", WarmupRate: rate}
+		young := &catalog.Upstream{ID: "young", Zone: "a", Slots: 200, Seen: start, Warmup: 3 * clock.Second}
+		again := *young
+		again.Seen += 10 * clock.Second
+		total := 0
+		for range daemons {
+			b := newBalancer(daemons)
+			for now := start; now < again.Seen; now += 10 {
+				if b.Choose(now, cold, []*catalog.Upstream{young}, excludeNone) != nil {
+					b.Sent(now, cold, young)
+					b.Answered(now, now, 0, young, nil)
+				}
+			}
+			for now := again.Seen; now < again.Seen+clock.Second; now++ {
+				// A request that began before the entry changed still has the earlier one.
+				u := []*catalog.Upstream{&again, young}[int(now)%2]
+				if b.Choose(now, cold, []*catalog.Upstream{u}, excludeNone) != nil {
+					b.Sent(now, cold, u)
+					b.Answered(now, now, 0, u, nil)
+					total++
+				}
+			}
+		}
+		Expect(total).To(BeNumerically("<=", rate*1.5+5))
+		Expect(total).To(BeNumerically(">", rate/2))
+	})
 })
 
 var _ = Describe("The wait for a slot", func() {
