--- a/io/registry/registry.go
+++ b/io/registry/registry.go
@@ -310,8 +310,8 @@
 	return nil
 }
 
-// handleFailure increases the backoff after a failed call and extends the grace period. If the store has
-// compacted the watched revision, the next iteration reloads all entries.
+// handleFailure increases the backoff after a failed call and extends the grace period. If the same watch would fail
+// again, the next iteration reloads all entries.
 func (r *Registry) handleFailure(err error) {
 	now := r.options.Now()
 	r.backoff = min(maxBackoff, max(minBackoff, 2*r.backoff))
@@ -320,8 +320,12 @@
 	if refusal, ok := err.(*reason.Refusal); ok { //nolint:errorlint // The store returns it unwrapped.
 		word = refusal.Reason
 	}
-	if word == reason.Compacted {
+	if r.loaded && cannotResume(word) {
 		r.loaded = false
+		r.recordEvent(event.Event{
+			Kind: event.Store, Reason: word, Revision: uint64(r.watchRevision),
+			Detail: "reads everything anew: " + err.Error(),
+		})
 	}
 	if !r.unreachable {
 		r.unreachable = true
@@ -331,6 +335,12 @@
 	}
 }
 
+// cannotResume reports whether a watch that failed for a reason would fail again from the same revision: the store no
+// longer has its history, or its answer cannot be read, which is not shorter the next time.
+func cannotResume(word reason.Code) bool {
+	return word == reason.Compacted || word == reason.Size || word == reason.Invalid
+}
+
 func (r *Registry) handleRecovery() {
 	r.backoff = 0
 	if r.unreachable {
--- a/io/registry/registry_test.go
+++ b/io/registry/registry_test.go
@@ -31,6 +31,8 @@
 	entries      map[string]store.Entry
 	pending      []store.Entry
 	storeErr     error
+	// watchErr is what a watch that has events to report returns in place of them.
+	watchErr error
 	watchTimeout clock.Milli
 	lists        int
 	staleLists   int
@@ -108,6 +110,9 @@
 			if store.Generation(after) != store.Generation(r.revision) {
 				return nil, 0, reason.NewRefusal(reason.Compacted, reason.NotExecuted, "was restored from a backup")
 			}
+			if r.watchErr != nil && len(r.pending) > 0 {
+				return nil, 0, r.watchErr
+			}
 			events := r.pending
 			r.pending = nil
 
@@ -379,4 +384,24 @@
 		r.advance(5000)
 		Expect(r.View().Config).To(BeNil())
 	})
+
+	// Guards against review/2: a daemon repeated a watch whose answer it could not read, which only grew longer.
+	for _, word := range []reason.Code{reason.Size, reason.Invalid} {
+		It("reads the store anew when it cannot read the answer to a watch, and says so: "+string(word), func() {
+			r := newHarness(self)
+			var events []event.Event
+			r.options.Record = func(e event.Event) { events = append(events, e) }
+			r.restart()
+			r.put("c", "config 1")
+			r.advance(0)
+			r.watchErr = reason.NewRefusal(word, reason.ExecutionUnknown, "unreadable answer")
+			r.put("c", "config 2")
+			r.advance(1000)
+			r.advance(1000)
+			Expect(r.View().Config.Version).To(BeEquivalentTo(2))
+			Expect(events).To(ContainElement(And(
+				HaveField("Kind", event.Store), HaveField("Reason", word), HaveField("Detail", ContainSubstring("reads everything anew")),
+			)))
+		})
+	}
 })
