Take the upstreams of each leg from the latest view

The route and the services stay those of the beginning, the upstreams are those that take requests when a leg is sent: also after a zone went out of service, or a version was rolled back or ordered away.

--- a/core/gather/coordinator.go
+++ b/core/gather/coordinator.go
@@ -195,6 +195,9 @@
 	Arrived clock.Milli
 	// Quarantined reports whether the request is known by now to crash the upstreams that run it. It may be nil.
 	Quarantined func() bool
+	// View returns the latest view, from which the upstreams of each leg are taken. If it is nil, all legs use the one
+	// with which the request began.
+	View func() *catalog.View
 }
 
 // Kind is the type of an Action.
--- a/core/gather/legs.go
+++ b/core/gather/legs.go
@@ -38,14 +38,27 @@
 	q.send(now, i, u, s.failReason)
 }
 
+// currentView returns the view from which upstreams are taken now. The route and the services stay those with which the
+// request began, but an upstream may have begun to drain or a version may have been rolled back since.
+func (q *Query) currentView() *catalog.View {
+	if q.request.View == nil {
+		return q.view
+	}
+	if view := q.request.View(); view != nil && view.Config != nil {
+		return view
+	}
+	// A daemon on standby knows no upstreams.
+	return q.view
+}
+
 // usable returns the upstreams of a service that take requests, without those that announced their shutdown.
 func (q *Query) usable(service string) []*catalog.Upstream {
-	return q.coordinator.balancer.Remaining(q.view.Usable(service))
+	return q.coordinator.balancer.Remaining(q.currentView().Usable(service))
 }
 
 // canaries returns the same of those of the version on trial.
 func (q *Query) canaries(service string) []*catalog.Upstream {
-	return q.coordinator.balancer.Remaining(q.view.Canaries(service))
+	return q.coordinator.balancer.Remaining(q.currentView().Canaries(service))
 }
 
 // waitForRoom returns how long the rate limits of all upstreams of a shard leave no room for another leg.
--- a/core/gather/query.go
+++ b/core/gather/query.go
@@ -243,7 +243,7 @@
 // countForRollout counts the result of a leg that an upstream may have run, if its service moves to
 // another version.
 func (q *Query) countForRollout(now clock.Milli, l *leg, result Result) {
-	move, moving := q.view.Rollout(l.upstream.Service)
+	move, moving := q.currentView().Rollout(l.upstream.Service)
 	if !moving || !l.mayHaveRun || result.Reason == reason.Cancelled {
 		return
 	}
--- a/core/gather/query_test.go
+++ b/core/gather/query_test.go
@@ -415,6 +415,69 @@
 	})
 })
 
+// Guards against review/5: retries went to what was registered when the request came, long after it had drained.
+var _ = Describe("A query that goes on while its upstreams change", func() {
+	single := catalog.Route{Name: "order", Timeout: 3000, Objective: 500, Attempts: 3}
+	rejected := gather.Result{Sent: true, Run: reason.NotExecuted, Reason: reason.Overload}
+	stable := []string{""}
+
+	for _, c := range []struct {
+		what string
+		// change returns the view after the first leg was rejected; upstreams are those of zone0, which rejected it, and of
+		// zone1, which would be asked next.
+		change func(config *catalog.Config, upstreams []*catalog.Upstream) *catalog.View
+		// resent is set if the upstream of zone0 may get another leg.
+		resent bool
+	}{
+		{"when one drains", func(config *catalog.Config, upstreams []*catalog.Upstream) *catalog.View {
+			draining := *upstreams[1]
+			draining.Draining = true
+
+			return catalog.NewView(config, []*catalog.Upstream{upstreams[0], &draining}, nil)
+		}, true},
+		{"when one is gone", func(config *catalog.Config, upstreams []*catalog.Upstream) *catalog.View {
+			return catalog.NewView(config, upstreams[:1], nil)
+		}, true},
+		{"when its availability zone is out of service", func(config *catalog.Config, upstreams []*catalog.Upstream) *catalog.View {
+			return catalog.NewView(config, upstreams, map[string]bool{"zone1": true})
+		}, true},
+		{"when the other version is rolled back", func(config *catalog.Config, upstreams []*catalog.Upstream) *catalog.View {
+			return catalog.NewView(config, upstreams, nil).WithRollouts(map[string]catalog.Rollout{
+				"shard0": {Version: "v2", Stage: catalog.RolledBack, OrderRevision: 1, Trial: 1, Stable: stable},
+			})
+		}, true},
+		{"when all are gone", func(config *catalog.Config, _ []*catalog.Upstream) *catalog.View {
+			return catalog.NewView(config, nil, nil)
+		}, false},
+	} {
+		It("takes the upstream of each leg from what is known then: "+c.what, func() {
+			d := newDaemon(1, 2, single)
+			d.route.Service, d.route.Shards = "shard0", nil
+			upstreams := d.view.Usable("shard0")
+			upstreams[1].Version = "v2"
+			for n := range 20 {
+				now := start + clock.Milli(n)*10*clock.Second
+				view := d.view
+				q, actions := d.Begin(now, view, d.route, gather.Request{
+					ID: "r", Arrived: now, FirstSent: now, Deadline: now + d.route.Timeout, View: func() *catalog.View { return view },
+				})
+				Expect(ofKind(actions, gather.Send)).To(HaveLen(1))
+				view = c.change(d.view.Config, upstreams)
+				list := slices.Clone(q.HandleResult(now+10, 0, rejected))
+				for at := now + 20; at < now+200; at += 10 {
+					list = append(list, q.HandleTimeout(at)...)
+				}
+				sends := ofKind(list, gather.Send)
+				Expect(len(sends) > 0).To(Equal(c.resent))
+				for _, a := range sends {
+					Expect(a.Upstream.Zone).To(Equal("zone0"))
+					q.HandleResult(now+300, a.Number, success)
+				}
+			}
+		})
+	}
+})
+
 var _ = Describe("A query whose upstreams have long queues", func() {
 	// reportLoad has the upstreams of the first shards answer a request after a span and report a load.
 	reportLoad := func(d *daemon, shards int, span clock.Milli, load *balance.Load) {
--- a/io/gateway/pending.go
+++ b/io/gateway/pending.go
@@ -47,7 +47,7 @@
 	spent := min(max(0, p.route.Timeout-p.call.Timeout), p.route.Objective)
 	query, actions := g.coordinator.Begin(now, view, p.route, gather.Request{
 		ID: p.call.ID, Arrived: p.call.Arrived, FirstSent: p.call.Arrived - spent - p.call.NetworkDelay,
-		Deadline: deadline, Quarantined: p.inQuarantine,
+		Deadline: deadline, Quarantined: p.inQuarantine, View: g.options.View,
 	})
 	p.query = query
 	p.perform(now, actions)
--- a/io/registry/registry_test.go
+++ b/io/registry/registry_test.go
@@ -25,14 +25,14 @@
 // harness is a registry with a scripted store and a virtual clock.
 type harness struct {
 	*registry.Registry
-	options      registry.Options
-	now          clock.Milli
-	revision     int64
-	entries      map[string]store.Entry
-	pending      []store.Entry
-	storeErr     error
+	options  registry.Options
+	now      clock.Milli
+	revision int64
+	entries  map[string]store.Entry
+	pending  []store.Entry
+	storeErr error
 	// watchErr is what a watch that has events to report returns in place of them.
-	watchErr error
+	watchErr     error
 	watchTimeout clock.Milli
 	lists        int
 	staleLists   int
