--- a/core/catalog/rollout.go
+++ b/core/catalog/rollout.go
@@ -32,9 +32,9 @@
 	Stage   Stage
 	// OrderRevision is the store's revision of the operator's order for the rollout.
 	OrderRevision int64
-	// Trial identifies the trial of Version: the revision of the order that began it, which is an earlier one if the
-	// same version was ordered again before its trial had ended.
-	Trial int64
+	// TrialRevision identifies the trial of Version: the revision of the order that began it, which is an earlier one if
+	// the same version was ordered again before its trial had ended.
+	TrialRevision int64
 	// Stable are the versions that took all requests before the order. Version is one of them if the operator orders
 	// it back while another one is on trial.
 	Stable []string
--- a/core/gather/query_test.go
+++ b/core/gather/query_test.go
@@ -443,7 +443,7 @@
 		}, true},
 		{"when the other version is rolled back", func(config *catalog.Config, upstreams []*catalog.Upstream) *catalog.View {
 			return catalog.NewView(config, upstreams, nil).WithRollouts(map[string]catalog.Rollout{
-				"shard0": {Version: "v2", Stage: catalog.RolledBack, OrderRevision: 1, Trial: 1, Stable: stable},
+				"shard0": {Version: "v2", Stage: catalog.RolledBack, OrderRevision: 1, TrialRevision: 1, Stable: stable},
 			})
 		}, true},
 		{"when all are gone", func(config *catalog.Config, _ []*catalog.Upstream) *catalog.View {
--- a/core/rollout/analyzer.go
+++ b/core/rollout/analyzer.go
@@ -73,9 +73,9 @@
 // daemon that counted its answers goes.
 func (a *Analyzer) Judge(service string, rollout catalog.Rollout, sums map[string]Counts) Verdict {
 	ra := a.rollouts[service]
-	if ra == nil || ra.trial != rollout.Trial {
+	if ra == nil || ra.trial != rollout.TrialRevision {
 		ra = &rolloutAnalysis{
-			trial: rollout.Trial, routes: make(map[string]*routeAnalysis), doubt: initialDoubt,
+			trial: rollout.TrialRevision, routes: make(map[string]*routeAnalysis), doubt: initialDoubt,
 		}
 		a.rollouts[service] = ra
 	}
--- a/core/rollout/begin.go
+++ b/core/rollout/begin.go
@@ -24,7 +24,7 @@
 		return before
 	}
 	next := catalog.Rollout{
-		Version: order.Version, Stage: catalog.Canary, OrderRevision: order.Revision, Trial: order.Revision,
+		Version: order.Version, Stage: catalog.Canary, OrderRevision: order.Revision, TrialRevision: order.Revision,
 		Stable: stableVersions(order, previous, upstreams),
 	}
 	if next.IsStable(order.Version) {
@@ -36,7 +36,7 @@
 		case t.Version != order.Version:
 			next.Withheld = append(next.Withheld, t)
 		case t.Revision != 0:
-			next.Trial = t.Revision
+			next.TrialRevision = t.Revision
 		}
 	}
 
@@ -83,7 +83,7 @@
 	case previous.Stage == catalog.RolledBack:
 		withheld = append(withheld, catalog.Trial{Version: previous.Version})
 	default:
-		withheld = append(withheld, catalog.Trial{Version: previous.Version, Revision: previous.Trial})
+		withheld = append(withheld, catalog.Trial{Version: previous.Version, Revision: previous.TrialRevision})
 	}
 
 	return withheld[max(0, len(withheld)-maxWithheld):]
--- a/core/rollout/begin_test.go
+++ b/core/rollout/begin_test.go
@@ -58,7 +58,7 @@
 
 var _ = Describe("A counter", func() {
 	trial := func(version string, id int64) catalog.Rollout {
-		return catalog.Rollout{Version: version, Stage: catalog.Canary, OrderRevision: id, Trial: id, Stable: []string{"v1"}}
+		return catalog.Rollout{Version: version, Stage: catalog.Canary, OrderRevision: id, TrialRevision: id, Stable: []string{"v1"}}
 	}
 	answer := func(version string) rollout.Sample {
 		return rollout.Sample{Service: "s", Route: "r", Version: version}
--- a/core/rollout/counter.go
+++ b/core/rollout/counter.go
@@ -74,7 +74,7 @@
 	if rollout.IsStable(rollout.Version) || rollout.Withholds(a.Version) {
 		return
 	}
-	r := c.trial(a.Service, rollout.Trial).route(a.Route)
+	r := c.trial(a.Service, rollout.TrialRevision).route(a.Route)
 	if a.Version == rollout.Version {
 		r.counts = r.counts.Add(Counts{New: 1, NewFailures: r.failureWeight(a)})
 
@@ -115,7 +115,7 @@
 
 // Counts returns the counts of the trial of a service's rollout by route, or nil if there are none.
 func (c *Counter) Counts(service string, rollout catalog.Rollout) map[string]Counts {
-	t := c.services[service][rollout.Trial]
+	t := c.services[service][rollout.TrialRevision]
 	if t == nil {
 		return nil
 	}
--- a/core/rollout/rollout_test.go
+++ b/core/rollout/rollout_test.go
@@ -79,7 +79,7 @@
 		again.Revision++
 		p := rollout.Begin(start, again, done, nil)
 		Expect(p.Rollout).To(Equal(catalog.Rollout{
-			Version: "v2", Stage: catalog.Canary, OrderRevision: again.Revision, Trial: again.Revision,
+			Version: "v2", Stage: catalog.Canary, OrderRevision: again.Revision, TrialRevision: again.Revision,
 		}))
 	})
 
@@ -125,7 +125,7 @@
 }
 
 var _ = Describe("The analyzer", func() {
-	canary := catalog.Rollout{Version: "v2", Stage: catalog.Canary, OrderRevision: 7, Trial: 7}
+	canary := catalog.Rollout{Version: "v2", Stage: catalog.Canary, OrderRevision: 7, TrialRevision: 7}
 	healthy := behaviour{failureRate: 0.01, slowRate: 0.04, slowFactor: 10}
 
 	// simulate sends n requests, a tenth of them to the new version, and returns how many failures and slow
@@ -210,7 +210,7 @@
 		}
 		next := canary
 		next.OrderRevision++
-		next.Trial++
+		next.TrialRevision++
 		Expect(m.analyse("s", next)).To(Equal(rollout.Undecided))
 		m.add(next, rollout.Sample{Service: "s", Route: "r", Version: "v2", OK: true, Latency: 10})
 		Expect(m.analyse("s", next)).To(Equal(rollout.Undecided))
@@ -218,7 +218,7 @@
 })
 
 var _ = Describe("The sums of several daemons", func() {
-	canary := catalog.Rollout{Version: "v2", Stage: catalog.Canary, OrderRevision: 7, Trial: 7}
+	canary := catalog.Rollout{Version: "v2", Stage: catalog.Canary, OrderRevision: 7, TrialRevision: 7}
 
 	// detect simulates daemons that each get few answers, and returns after how many answers of the new
 	// version they find it bad together, and whether they do. The first goodAnswers of them are good and are
--- a/io/daemon/upstreams.go
+++ b/io/daemon/upstreams.go
@@ -14,7 +14,7 @@
 	"jacinthferry/core/home"
 	"jacinthferry/core/leg"
 	"jacinthferry/core/reason"
-	"jacinthferry/io/rpc"
+	"jacinthferry/io/memory"
 	"jacinthferry/io/secure"
 	"jacinthferry/io/settings"
 	"jacinthferry/io/timer"
@@ -31,7 +31,7 @@
 	group       *traffic.Group
 	record      func(event.Event)
 	// memory is shared by the answers of all upstreams.
-	memory *rpc.ResponseMemory
+	memory *memory.Budget
 
 	mu    sync.Mutex
 	pools map[string]*upstream.Pool
@@ -40,7 +40,7 @@
 func newUpstreams(ctx context.Context, s settings.Home, now func() clock.Milli, creds *secure.Credentials) *upstreams {
 	return &upstreams{
 		ctx: ctx, settings: s, now: now, credentials: creds, pools: make(map[string]*upstream.Pool),
-		memory: rpc.NewResponseMemory(responseMemoryBytes),
+		memory: memory.NewBudget(responseMemoryBytes),
 	}
 }
 
--- a/io/gateway/conn.go
+++ b/io/gateway/conn.go
@@ -73,7 +73,7 @@
 
 			return reply, keep && c.reader.Buffered() == 0, true, nil
 		}
-		c.memory.release(reply.held)
+		c.memory.Release(reply.held)
 	}
 
 	return nil, false, true, errMismatch
--- a/io/gateway/endless_test.go
+++ b/io/gateway/endless_test.go
@@ -8,8 +8,6 @@
 	"io"
 	"net"
 	"net/http"
-	"runtime"
-	"runtime/metrics"
 	"slices"
 	"strings"
 	"sync"
@@ -23,6 +21,7 @@
 	"jacinthferry/core/reason"
 	"jacinthferry/io/gateway"
 	"jacinthferry/io/timer"
+	"jacinthferry/standin/suite"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -117,39 +116,6 @@
 	}
 }
 
-// watchHeap samples the live bytes on the heap and returns a function that stops it and returns the largest
-// increase.
-func watchHeap() (peak func() uint64) {
-	sample := []metrics.Sample{{Name: "/gc/heap/live:bytes"}}
-	read := func() uint64 {
-		runtime.GC()
-		metrics.Read(sample)
-
-		return sample[0].Value.Uint64()
-	}
-	first := read()
-	highest := first
-	stop, stopped := make(chan struct{}), make(chan struct{})
-	go func() {
-		defer close(stopped)
-		for {
-			select {
-			case <-stop:
-				return
-			case <-time.After(20 * time.Millisecond):
-				highest = max(highest, read())
-			}
-		}
-	}()
-
-	return func() uint64 {
-		close(stop)
-		<-stopped
-
-		return highest - first
-	}
-}
-
 // recorder keeps the events of one gateway. Legs may end after their request.
 type recorder struct {
 	mu     sync.Mutex
@@ -246,7 +212,7 @@
 					newEndlessServer(service+"-a", service, kind).upstream, newEndlessServer(service+"-b", service, kind).upstream)
 			}
 			g, events := newGateway(manyShards, timeout, timeout/2, upstreams)
-			peak := watchHeap()
+			peak := suite.WatchHeap()
 			start := time.Now()
 			var wg sync.WaitGroup
 			for range concurrent {
@@ -304,7 +270,7 @@
 			upstreams = append(upstreams, newEndlessServer(service+"-a", service, long).upstream)
 		}
 		g, _ := newGateway(manyShards, 2*timeout, 2*timeout, upstreams)
-		peak := watchHeap()
+		peak := suite.WatchHeap()
 		var wg sync.WaitGroup
 		for range waiting {
 			wg.Go(func() { send(g, "/all/1") })
--- a/io/gateway/export_test.go
+++ b/io/gateway/export_test.go
@@ -39,9 +39,4 @@
 }
 
 // HeldMemory returns how many bytes of the memory for responses are held.
-func (g *Gateway) HeldMemory() int {
-	g.memory.mu.Lock()
-	defer g.memory.mu.Unlock()
-
-	return g.memory.budget.Held()
-}
+func (g *Gateway) HeldMemory() int { return g.memory.Held() }
--- a/io/gateway/memory.go
+++ b/io/gateway/memory.go
@@ -2,12 +2,11 @@
 
 import (
 	"io"
-	"sync"
 
 	"github.com/pkg/errors"
 
-	"jacinthferry/core/budget"
 	"jacinthferry/core/gather"
+	"jacinthferry/io/memory"
 )
 
 const (
@@ -35,29 +34,10 @@
 
 // responseMemory limits the memory that the large responses of all legs hold together. It is safe for concurrent use.
 type responseMemory struct {
-	mu     sync.Mutex
-	budget *budget.Bytes
+	*memory.Budget
 }
 
-func newResponseMemory(limit int) *responseMemory {
-	return &responseMemory{budget: budget.NewBytes(limit)}
-}
-
-func (m *responseMemory) take(n int) bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-
-	return m.budget.Take(n)
-}
-
-func (m *responseMemory) release(n int) {
-	if n == 0 {
-		return
-	}
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.budget.Release(n)
-}
+func newResponseMemory(limit int) *responseMemory { return &responseMemory{memory.NewBudget(limit)} }
 
 // read reads a body of at most limit bytes, of which length are announced, or -1 if none. It returns the body and
 // how many bytes it holds of the memory, which the caller must release.
@@ -68,8 +48,8 @@
 		if len(body) == cap(body) {
 			size := min(2*cap(body), limit+1)
 			if more := size - freeSize - held; more > 0 {
-				if !m.take(more) {
-					m.release(held)
+				if !m.Take(more) {
+					m.Release(held)
 
 					return nil, 0, errNoMemory
 				}
@@ -86,7 +66,7 @@
 			return body, held, nil
 		}
 		if err != nil {
-			m.release(held)
+			m.Release(held)
 
 			return nil, 0, errors.Wrap(err, "gateway: cannot read response body")
 		}
@@ -105,6 +85,6 @@
 	}
 	reply.Body = gather.TopRecords([][]byte{reply.Body}, top)
 	held := min(reply.held, max(0, len(reply.Body)-freeSize))
-	m.release(reply.held - held)
+	m.Release(reply.held - held)
 	reply.held = held
 }
--- a/io/gateway/metered.go
+++ b/io/gateway/metered.go
@@ -29,7 +29,7 @@
 
 // release returns the memory that was taken for a header.
 func (m *meteredConn) release() {
-	m.memory.release(m.held)
+	m.memory.Release(m.held)
 	m.held = 0
 }
 
@@ -51,7 +51,7 @@
 	if more == 0 {
 		return errTooLarge
 	}
-	if !m.memory.take(more) {
+	if !m.memory.Take(more) {
 		return errNoMemory
 	}
 	m.extra -= more
--- a/io/gateway/pending.go
+++ b/io/gateway/pending.go
@@ -150,7 +150,7 @@
 	if reply == nil {
 		return
 	}
-	p.gateway.memory.release(reply.held)
+	p.gateway.memory.Release(reply.held)
 	reply.held = 0
 }
 
--- a/io/gateway/relay.go
+++ b/io/gateway/relay.go
@@ -115,7 +115,7 @@
 				merged = append(merged, r)
 			} else {
 				send(RelayResponse{Results: []RelayResult{r.leg}, Body: r.body})
-				g.memory.release(r.held)
+				g.memory.Release(r.held)
 			}
 		case <-flush:
 			flush = nil
@@ -127,7 +127,7 @@
 		if (open == 0 || flush == nil) && len(merged) > 0 {
 			send(g.merge(merged, top))
 			for i := range merged {
-				g.memory.release(merged[i].held)
+				g.memory.Release(merged[i].held)
 			}
 			merged = nil
 		}
@@ -201,7 +201,7 @@
 		if result.OK {
 			r.body, r.held = reply.Body, reply.held
 		} else {
-			g.memory.release(reply.held)
+			g.memory.Release(reply.held)
 		}
 	}
 	g.mu.Lock()
--- a/io/registry/moves.go
+++ b/io/registry/moves.go
@@ -41,7 +41,9 @@
 func moveKey(service string) string { return movePrefix + service }
 
 func encodeMove(m catalog.Rollout) (string, error) {
-	record := moveRecord{Order: m.OrderRevision, Version: m.Version, Stage: m.Stage, Trial: m.Trial, Stable: m.Stable}
+	record := moveRecord{
+		Order: m.OrderRevision, Version: m.Version, Stage: m.Stage, Trial: m.TrialRevision, Stable: m.Stable,
+	}
 	for _, t := range m.Withheld {
 		record.Withheld = append(record.Withheld, trialRecord{Version: t.Version, Trial: t.Revision})
 	}
@@ -56,10 +58,12 @@
 		return Record{}, err //nolint:wrapcheck // The caller logs it with the key.
 	}
 
-	move := catalog.Rollout{Version: m.Version, Stage: m.Stage, OrderRevision: m.Order, Trial: m.Trial, Stable: m.Stable}
-	if move.Trial == 0 {
+	move := catalog.Rollout{
+		Version: m.Version, Stage: m.Stage, OrderRevision: m.Order, TrialRevision: m.Trial, Stable: m.Stable,
+	}
+	if move.TrialRevision == 0 {
 		// Daemons of earlier releases write no trial.
-		move.Trial = m.Order
+		move.TrialRevision = m.Order
 	}
 	for _, t := range m.Withheld {
 		move.Withheld = append(move.Withheld, catalog.Trial{Version: t.Version, Revision: t.Trial})
--- a/io/registry/results.go
+++ b/io/registry/results.go
@@ -74,7 +74,7 @@
 	own := resultsKey(service, r.options.Self.Name)
 	for key, s := range r.entries {
 		res := &s.record.Results
-		if s.record.Kind != Results || key == own || res.Service != service || res.Trial != m.Trial {
+		if s.record.Kind != Results || key == own || res.Service != service || res.Trial != m.TrialRevision {
 			continue
 		}
 		addCounts(sums, res.Routes)
@@ -97,7 +97,7 @@
 // ownCounts returns this daemon's counts for a move, with those of its previous run, by route.
 func (r *Registry) ownCounts(service string, m catalog.Rollout) map[string]rollout.Counts {
 	sums := make(map[string]rollout.Counts)
-	if before := r.inherited[service]; before.Trial == m.Trial {
+	if before := r.inherited[service]; before.Trial == m.TrialRevision {
 		addCounts(sums, before.Routes)
 	}
 	addCounts(sums, r.options.Counts(service, m))
@@ -129,7 +129,7 @@
 	if m.Stage.Final() {
 		return r.deleteResults(ctx, service)
 	}
-	mine := results{Service: service, Trial: m.Trial, Routes: r.ownCounts(service, m)}
+	mine := results{Service: service, Trial: m.TrialRevision, Routes: r.ownCounts(service, m)}
 	key := resultsKey(service, r.options.Self.Name)
 	stored := r.entries[key]
 	if len(mine.Routes) == 0 || now < r.resultsSent[service]+resultsInterval ||
--- a/io/upstream/endless_test.go
+++ b/io/upstream/endless_test.go
@@ -6,16 +6,15 @@
 	"io"
 	"net"
 	"net/http"
-	"runtime"
-	"runtime/metrics"
 	"strings"
 	"sync"
 	"time"
 
 	"jacinthferry/core/clock"
 	"jacinthferry/core/reason"
-	"jacinthferry/io/rpc"
+	"jacinthferry/io/memory"
 	"jacinthferry/io/upstream"
+	"jacinthferry/standin/suite"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -48,44 +47,12 @@
 	return listener.Addr().String()
 }
 
-// watchHeap samples the live bytes on the heap and returns a function that stops it and returns the largest increase.
-func watchHeap() (peak func() uint64) {
-	sample := []metrics.Sample{{Name: "/gc/heap/live:bytes"}}
-	read := func() uint64 {
-		runtime.GC()
-		metrics.Read(sample)
-
-		return sample[0].Value.Uint64()
-	}
-	first := read()
-	highest := first
-	stop, stopped := make(chan struct{}), make(chan struct{})
-	go func() {
-		defer close(stopped)
-		for {
-			select {
-			case <-stop:
-				return
-			case <-time.After(10 * time.Millisecond):
-				highest = max(highest, read())
-			}
-		}
-	}()
-
-	return func() uint64 {
-		close(stop)
-		<-stopped
-
-		return highest - first
-	}
-}
-
 // Guards against upstreams that send bytes without end, which a daemon kept until it ran out of memory.
 var _ = Describe("Upstreams that send bytes without end", func() {
 	const (
 		upstreams = 60
 		legs      = 2
-		memory    = 8 << 20
+		budget    = 8 << 20
 		// heapLimit is half of the smallest machine that a daemon runs on.
 		heapLimit = 92 << 20
 		timeout   = 1500 * clock.Millisecond
@@ -102,7 +69,7 @@
 		{"in the body of an error", "HTTP/1.1 503 Service Unavailable\r\nContent-Type: application/json\r\n\r\n", filler},
 	} {
 		It("cost little memory, and legs end in time: "+c.what, func() {
-			shared := rpc.NewResponseMemory(memory)
+			shared := memory.NewBudget(budget)
 			var pools []*upstream.Pool
 			for range upstreams {
 				p := upstream.NewPool(endlessUpstream(c.start, c.part), upstream.Options{
@@ -112,7 +79,7 @@
 				DeferCleanup(p.Close)
 				pools = append(pools, p)
 			}
-			peak := watchHeap()
+			peak := suite.WatchHeap()
 			begin := time.Now()
 			var wg sync.WaitGroup
 			for _, p := range pools {
--- a/io/upstream/pool.go
+++ b/io/upstream/pool.go
@@ -12,6 +12,7 @@
 	"jacinthferry/core/clock"
 	"jacinthferry/core/leg"
 	"jacinthferry/core/reason"
+	"jacinthferry/io/memory"
 	"jacinthferry/io/rpc"
 	"jacinthferry/io/secure"
 )
@@ -36,7 +37,7 @@
 	// OnConnectionFailure is called when a connection breaks that this side did not close, or is retired.
 	OnConnectionFailure func(code reason.Code)
 	// ResponseMemory limits what the large answers of all upstreams hold while they are read. It may be nil.
-	ResponseMemory *rpc.ResponseMemory
+	ResponseMemory *memory.Budget
 }
 
 // Pool is the client of an upstream's home. It limits and monitors the connections, and reports what
@@ -73,7 +74,7 @@
 func (o *Options) newClient(address string, transport *http.Transport) *Client {
 	tripper := rpc.WithSecret(o.Credentials, transport)
 	if o.ResponseMemory != nil {
-		tripper = o.ResponseMemory.Limit(tripper)
+		tripper = rpc.LimitResponses(tripper, o.ResponseMemory)
 	}
 
 	return NewClient(address, &http.Client{Transport: tripper}, o.Now)
