--- a/soak/check/history.go
+++ b/soak/check/history.go
@@ -76,12 +76,14 @@
 
 // Rollout is a rollout of a service to another version.
 type Rollout struct {
-	Service  string
-	Version  string
-	Bad      bool
-	At       clock.Milli
-	Deadline clock.Milli
-	// Outcome is the last stage that the rollout reported to operators.
+	Service string
+	Version string
+	Bad     bool
+	// OrderedBack is set if the version that ran was ordered soon after.
+	OrderedBack bool
+	At          clock.Milli
+	Deadline    clock.Milli
+	// Outcome is the last stage that was reported to operators for the version that was ordered last.
 	Outcome catalog.Stage
 }
 
--- a/soak/check/upstreams.go
+++ b/soak/check/upstreams.go
@@ -167,7 +167,7 @@
 
 // expectedOutcome returns the stage in which the rollout should end.
 func (ro *Rollout) expectedOutcome() catalog.Stage {
-	if ro.Bad {
+	if ro.Bad && !ro.OrderedBack {
 		return catalog.RolledBack
 	}
 
--- a/soak/testbed/plan.go
+++ b/soak/testbed/plan.go
@@ -54,6 +54,8 @@
 	ZoneOut  StepKind = "zone-out"
 	MoveGood StepKind = "move-good"
 	MoveBad  StepKind = "move-bad"
+	// MoveBack orders a bad version, and soon after that the version that runs.
+	MoveBack StepKind = "move-back"
 )
 
 var (
@@ -84,20 +86,24 @@
 	// minDuration and maxDuration bound the duration of a step.
 	minDuration = 300 * clock.Millisecond
 	maxDuration = 5 * clock.Second
+	// moveBackEvery is the number of bad moves of which one is ordered back, where the seed determines the kinds.
+	moveBackEvery = 4
 	// targetLimit exceeds the number of targets of any kind.
 	targetLimit = 1000
 )
 
 // StepKinds returns all kinds of steps. A kind occurs more than once if plans pick it more often.
-func StepKinds() []StepKind { return slices.Concat(plannedKinds, faultKinds) }
+func StepKinds() []StepKind { return slices.Concat(plannedKinds, faultKinds, []StepKind{MoveBack}) }
 
 // NewPlan returns the steps of a seed, sorted by their start, which lies within the period except for
 // later steps of a series. If kinds is empty, the seed determines whether the plan has planned
 // work, faults or both.
 func NewPlan(seed uint64, period clock.Milli, kinds []StepKind) []Step {
 	random := rand.New(rand.NewPCG(seed, seed))
-	if len(kinds) == 0 {
-		kinds = [][]StepKind{plannedKinds, faultKinds, StepKinds(), StepKinds()}[seed%4]
+	drawn := len(kinds) == 0
+	if drawn {
+		allKinds := slices.Concat(plannedKinds, faultKinds)
+		kinds = [][]StepKind{plannedKinds, faultKinds, allKinds, allKinds}[seed%4]
 	}
 	var steps []Step
 	for range minSteps + random.IntN(maxSteps-minSteps+1) {
@@ -105,6 +111,9 @@
 			At: clock.Milli(random.Float64()) * period, Kind: kinds[random.IntN(len(kinds))], Target: random.IntN(targetLimit),
 			Duration: minDuration + clock.Milli(random.Float64())*(maxDuration-minDuration),
 		}
+		if drawn && s.Kind == MoveBad && s.Target%moveBackEvery == 1 {
+			s.Kind = MoveBack
+		}
 		count := 1
 		if random.Float64() < seriesShare {
 			count = seriesLength
@@ -118,7 +127,7 @@
 	}
 	slices.SortStableFunc(steps, func(a, b Step) int { return cmp.Compare(a.At, b.At) })
 
-	return onlyFirst(steps, MoveGood, MoveBad, Reshard)
+	return onlyFirst(steps, MoveGood, MoveBad, MoveBack, Reshard)
 }
 
 // onlyFirst keeps only the first step of mutually exclusive kinds and moves it to the start, since
--- a/soak/testbed/steps.go
+++ b/soak/testbed/steps.go
@@ -50,7 +50,7 @@
 		return tb.reshard(ctx)
 	case ZoneOut:
 		return tb.evacuateZone(ctx, s)
-	case MoveGood, MoveBad:
+	case MoveGood, MoveBad, MoveBack:
 		return tb.runRollout(ctx, s)
 	default:
 		return tb.runUpstreamStep(ctx, s)
--- a/soak/testbed/upstreams.go
+++ b/soak/testbed/upstreams.go
@@ -193,13 +193,17 @@
 // maxRolloutDuration is the time that a rollout may take.
 const maxRolloutDuration = 22 * clock.Second
 
+// orderBackDelay is the time after an order for a version at which the one that runs is ordered, if it is.
+const orderBackDelay = clock.Second
+
 // runRollout orders the rollout of another version and, at its end, removes the upstreams that are
 // no longer needed, as operators do.
 func (tb *Testbed) runRollout(ctx context.Context, s Step) error {
 	srv, _ := tb.pickEndpoint(s.Target)
 	old := srv.activeEndpoints()
+	bad := s.Kind != MoveGood
 	errorRate := 0.0
-	if s.Kind == MoveBad {
+	if bad {
 		errorRate = badVersionErrorRates[s.Target%len(badVersionErrorRates)]
 	}
 	srv.setErrorRate(nextVersion, errorRate)
@@ -211,21 +215,24 @@
 		}
 		canaries = append(canaries, p)
 	}
-	order := rollout.Order{Service: srv.name, Version: nextVersion, MaxDuration: maxRolloutDuration}
-	key, text, err := platform.EncodeRolloutOrder(order)
-	if err != nil {
-		return err //nolint:wrapcheck // The platform says what is wrong.
+	ro := check.Rollout{Service: srv.name, Version: nextVersion, Bad: bad, OrderedBack: s.Kind == MoveBack, At: tb.now()}
+	ro.Deadline = ro.At + maxRolloutDuration
+	if err := tb.orderRollout(ctx, srv.name, nextVersion); err != nil {
+		return err
 	}
-	ro := check.Rollout{Service: srv.name, Version: nextVersion, Bad: s.Kind == MoveBad, At: tb.now()}
-	if _, err := tb.store.Put(ctx, key, text, store.Any, ""); err != nil {
-		return err //nolint:wrapcheck // It is a refusal of the store.
+	version, unneeded := nextVersion, old
+	if ro.OrderedBack {
+		tb.sleep(ctx, orderBackDelay)
+		version, unneeded = firstVersion, canaries
+		if err := tb.orderRollout(ctx, srv.name, version); err != nil {
+			return err
+		}
 	}
-	ro.Deadline = ro.At + maxRolloutDuration
-	ro.Outcome = tb.awaitRollout(ctx, srv.name, ro.Deadline)
+	ro.Outcome = tb.awaitRollout(ctx, srv.name, version, ro.Deadline)
 	tb.record(func(h *check.History) { h.Rollouts = append(h.Rollouts, ro) })
 	switch ro.Outcome {
 	case catalog.Completed:
-		for _, p := range old {
+		for _, p := range unneeded {
 			_ = p.currentUpstream().Stop(ctx)
 			p.mu.Lock()
 			p.removed = true
@@ -242,14 +249,29 @@
 	return nil
 }
 
-// awaitRollout polls the report to operators until the rollout has ended or its deadline has
+// orderRollout writes an order for a version of a service.
+func (tb *Testbed) orderRollout(ctx context.Context, service, version string) error {
+	key, text, err := platform.EncodeRolloutOrder(rollout.Order{
+		Service: service, Version: version, MaxDuration: maxRolloutDuration,
+	})
+	if err != nil {
+		return err //nolint:wrapcheck // The platform says what is wrong.
+	}
+	_, err = tb.store.Put(ctx, key, text, store.Any, "")
+
+	return err //nolint:wrapcheck // It is a refusal of the store.
+}
+
+// awaitRollout polls the report to operators until the rollout of a version has ended or its deadline has
 // passed. Without a final stage by then, it returns the canary stage.
-func (tb *Testbed) awaitRollout(ctx context.Context, service string, deadline clock.Milli) catalog.Stage {
+func (tb *Testbed) awaitRollout(ctx context.Context, service, version string, deadline clock.Milli) catalog.Stage {
 	for ctx.Err() == nil && tb.now() < deadline {
-		e, err := tb.store.Get(ctx, platform.RolloutReportKey(service))
-		if err == nil && e.Value != "" {
-			if stage, err := platform.DecodeRolloutReport(e.Value); err == nil && stage.Final() {
-				return stage
+		if e, err := tb.store.Get(ctx, platform.RolloutReportKey(service)); err == nil {
+			for _, stage := range []catalog.Stage{catalog.Completed, catalog.RolledBack} {
+				_, text, err := platform.EncodeRolloutReport(service, catalog.Rollout{Version: version, Stage: stage})
+				if err == nil && e.Value == text {
+					return stage
+				}
 			}
 		}
 		tb.sleep(ctx, 100*clock.Millisecond)
