--- a/core/rollout/begin.go
+++ b/core/rollout/begin.go
@@ -54,10 +54,9 @@
 		stable = slices.Clone(previous.Stable)
 	case previous.Version != "":
 		// No other version was known when the one before was ordered.
-		order.Repeated = true
-		stable = slices.DeleteFunc(starts.stableBefore(order), previous.Rejects)
+		stable = slices.DeleteFunc(starts.stableBefore(order.Version, true), previous.Rejects)
 	default:
-		stable = starts.stableBefore(order)
+		stable = starts.stableBefore(order.Version, order.Repeated)
 	}
 	if order.Version == previous.Version || previous.Withholds(order.Version) || slices.Contains(stable, order.Version) {
 		return stable
@@ -104,17 +103,17 @@
 	return starts
 }
 
-// stableBefore returns the versions that ran before the first order that this daemon knows of. Those that started after
-// the ordered one are not among them: somebody may be about to order them. If there was an order before, which this
-// daemon has not seen, only the oldest version is.
-func (s startTimes) stableBefore(order Order) []string {
+// stableBefore returns the versions that ran before the first order that this daemon knows of, for the version ordered.
+// Those that started after that one are not among them: somebody may be about to order them. If the order is repeated,
+// others came before it that this daemon has not seen, and only the oldest version is.
+func (s startTimes) stableBefore(ordered string, repeated bool) []string {
 	var stable []string
-	ordered := s[order.Version]
+	start := s[ordered]
 	for _, version := range slices.Sorted(maps.Keys(s)) {
 		switch {
-		case version == order.Version:
-		case ordered != 0 && s[version] > ordered:
-		case order.Repeated && !s.oldest(version):
+		case version == ordered:
+		case start != 0 && s[version] > start:
+		case repeated && !s.oldest(version):
 		default:
 			stable = append(stable, version)
 		}
--- a/io/registry/orders_test.go
+++ b/io/registry/orders_test.go
@@ -221,6 +221,7 @@
 		{"the same version again", []string{"v2"}},
 		{"another version in between", []string{"v3", "v2"}},
 		{"the version that ran in between", []string{"v1", "v2"}},
+		{"orders that alternate", []string{"v1", "v2", "v1", "v2", "v1", "v2"}},
 	} {
 		It("go on with an interrupted trial and what it has shown: "+c.what, func() {
 			r := newOrders()
--- a/io/relay/relay_test.go
+++ b/io/relay/relay_test.go
@@ -273,3 +273,20 @@
 		}
 	})
 })
+
+// Guards against messages without end, which a daemon would keep.
+var _ = Describe("A relay connection that gets a message over the limit", func() {
+	It("is closed", func(ctx SpecContext) {
+		remote := newRemoteDaemon()
+		conn, response, err := websocket.Dial(ctx, "ws://"+remote.address()+relay.Path, nil)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(response.StatusCode).To(Equal(http.StatusSwitchingProtocols))
+		defer func() { _ = conn.CloseNow() }()
+		written := conn.Write(ctx, websocket.MessageBinary, make([]byte, 9<<20))
+		_, _, err = conn.Read(ctx)
+		Expect(err).To(HaveOccurred())
+		if written == nil {
+			Expect(websocket.CloseStatus(err)).To(Equal(websocket.StatusMessageTooBig))
+		}
+	}, SpecTimeout(timeout))
+})
