--- a/review/kit-2/fleet.sh
+++ b/review/kit-2/fleet.sh
@@ -9,6 +9,7 @@
 pids=()
 touch "$work/alive"
 finish() {
+  exec 2>/dev/null
   rm -f "$work/alive"
   pids+=($(cat "$work"/pid-* 2>/dev/null))
   for pid in "${pids[@]}"; do kill -KILL "$pid" 2>/dev/null; done
@@ -25,6 +26,7 @@
     JACINTHFERRY_CONFIG="$work/entry-$1.json" target/jacinthferry entry >>"$work/entry-$1.log" 2>&1 &
     echo $! >"$work/pid-$1"
     wait $!
+    rm -f "$work/pid-$1"
     sleep 1.5
   done 2>/dev/null
 }
--- a/review/kit-2/recover.go
+++ b/review/kit-2/recover.go
@@ -22,14 +22,14 @@
 	recoverShards  = 20
 	recoverTop     = 10
 	recoverRate    = 110.0
-	recoverWork    = 40 * time.Millisecond
+	recoverWork    = 60 * time.Millisecond
 	recoverTimeout = 800 * time.Millisecond
 	// recoverCalm is the time of traffic before the disruption, and recoverDown how long the upstreams of a shard are
 	// down. The next shard follows recoverGap after the first.
 	recoverCalm    = 20 * time.Second
 	recoverDown    = 4500 * time.Millisecond
 	recoverGap     = 6 * time.Second
-	recoverCrashes = 1
+	recoverCrashes = 2
 	// recoverGrace is the bound recoveryS, and recoverSpan the time after it in which requests are counted.
 	recoverGrace = 12 * time.Second
 	recoverSpan  = 15 * time.Second
