--- a/review/kit-2/main.go
+++ b/review/kit-2/main.go
@@ -6,6 +6,7 @@
 	"context"
 	"flag"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"strconv"
@@ -24,6 +25,14 @@
 // timeLimit ends a case that takes too long.
 const timeLimit = 115 * time.Second
 
+// The ports that printPorts chooses from lie below those that the system gives to outgoing connections.
+const (
+	firstPort = 12_000
+	portRange = 18_000
+	// portTries is how many ports are tried for each one that is wanted.
+	portTries = 20
+)
+
 func main() {
 	if len(os.Args) < 2 {
 		fail(errors.New("want a verb: ports or play"))
@@ -58,19 +67,24 @@
 	if err != nil {
 		return errors.Wrap(err, "ports")
 	}
-	var listeners []net.Listener
-	for range count {
-		l, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", "127.0.0.1:0")
-		if err != nil {
-			return errors.Wrap(err, "ports")
+	held := make(map[int]net.Listener, count)
+	for range count * portTries {
+		if len(held) == count {
+			break
 		}
-		listeners = append(listeners, l)
-	}
-	for _, l := range listeners {
-		_, port, err := net.SplitHostPort(l.Addr().String())
-		if err != nil {
-			return errors.Wrap(err, "ports")
+		port := firstPort + rand.IntN(portRange)
+		if held[port] != nil {
+			continue
 		}
+		address := net.JoinHostPort("127.0.0.1", strconv.Itoa(port))
+		if l, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", address); err == nil {
+			held[port] = l
+		}
+	}
+	if len(held) < count {
+		return errors.New("ports: too few are free")
+	}
+	for port, l := range held {
 		_, _ = fmt.Fprintln(os.Stdout, port)
 		_ = l.Close()
 	}
@@ -105,6 +119,9 @@
 	o.log = newLog(out)
 	ctx, cancel := context.WithTimeout(context.Background(), timeLimit)
 	defer cancel()
+	if err := waitStore(ctx, o.store); err != nil {
+		return 0, err
+	}
 	broken, err := run(ctx, o)
 	if err != nil {
 		return 0, err
--- a/review/kit-2/store.go
+++ b/review/kit-2/store.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"fmt"
 	"io"
 	"net/http"
 	"time"
@@ -120,6 +119,18 @@
 	})
 }
 
+// waitStore waits until the store answers.
+func waitStore(ctx context.Context, store string) error {
+	for ctx.Err() == nil {
+		if answers(ctx, "http://"+store+"/-/kv-key?key=op/config") != 0 {
+			return nil
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+
+	return errors.New("store does not answer")
+}
+
 // waitReady waits until all daemons are ready.
 func waitReady(ctx context.Context, readies []string) error {
 	for _, address := range readies {
@@ -135,16 +146,21 @@
 }
 
 func ready(ctx context.Context, address string) bool {
-	r, err := http.NewRequestWithContext(ctx, http.MethodGet, fmt.Sprintf("http://%s/-/ready", address), nil)
+	return answers(ctx, "http://"+address+"/-/ready") == http.StatusOK
+}
+
+// answers returns the status of the answer to a GET request, or 0 without one.
+func answers(ctx context.Context, url string) int {
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
-		return false
+		return 0
 	}
 	response, err := http.DefaultClient.Do(r)
 	if err != nil {
-		return false
+		return 0
 	}
 	defer func() { _ = response.Body.Close() }()
 	_, _ = io.Copy(io.Discard, response.Body)
 
-	return response.StatusCode == http.StatusOK
+	return response.StatusCode
 }
