--- a/review/kit-2/extra.go
+++ b/review/kit-2/extra.go
@@ -17,14 +17,14 @@
 
 // The small deployment of the scenario "extra": services of two upstreams each, and one unsafe route for each.
 const (
-	extraServices    = 10
+	extraServices    = 17
 	extraWork        = 350 * time.Millisecond
 	extraSpan        = 95 * time.Second
 	extraQuiet       = 6 * time.Second
-	extraRate        = 110.0
+	extraRate        = 190.0
 	extraTimeout     = 3 * time.Second
 	extraWindow      = 5 * time.Second
-	extraPause       = 3 * time.Second
+	extraPause       = 1 * time.Second
 	extraShare       = 0.03
 	extraServerShare = 0.6
 	host             = "orders.example"
