--- a/review/kit-2/extra.go
+++ b/review/kit-2/extra.go
@@ -17,11 +17,11 @@
 
 // The small deployment of the scenario "extra": services of two upstreams each, and one unsafe route for each.
 const (
-	extraServices    = 17
+	extraServices    = 10
 	extraWork        = 350 * time.Millisecond
 	extraSpan        = 95 * time.Second
 	extraQuiet       = 6 * time.Second
-	extraRate        = 190.0
+	extraRate        = 110.0
 	extraTimeout     = 3 * time.Second
 	extraWindow      = 5 * time.Second
 	extraPause       = 1 * time.Second
--- a/review/kit-2/upstream.go
+++ b/review/kit-2/upstream.go
@@ -112,7 +112,7 @@
 func (u *upstream) serve(c net.Conn) {
 	defer u.drop(c)
 	reader := bufio.NewReader(c)
-	copied := ""
+	copied, last := "", ""
 	for {
 		r, err := http.ReadRequest(reader)
 		if err != nil {
@@ -122,7 +122,7 @@
 			return
 		}
 		if copied != "" {
-			u.log.add("extra", u.id+" sends its last response again")
+			u.log.add("extra", u.id+" sends its response to "+last+" again where that to "+r.Header.Get(headerID)+" is due")
 			if _, err := io.WriteString(c, copied); err != nil {
 				return
 			}
@@ -133,7 +133,7 @@
 			return
 		}
 		if u.extraShare != nil && rand.Float64() < u.extraShare() {
-			copied = response
+			copied, last = response, r.Header.Get(headerID)
 		}
 	}
 }
