--- a/review/kit-2/main.go
+++ b/review/kit-2/main.go
@@ -25,10 +25,11 @@
 // timeLimit ends a case that takes too long.
 const timeLimit = 115 * time.Second
 
-// The ports that printPorts chooses from lie below those that the system gives to outgoing connections.
+// The ports that printPorts chooses from lie below those that the system gives to outgoing connections, and above those
+// of the soak.
 const (
-	firstPort = 12_000
-	portRange = 18_000
+	firstPort = 28_000
+	portRange = 4_500
 	// portTries is how many ports are tried for each one that is wanted.
 	portTries = 20
 )
