--- a/review/kit-2/fleet.sh
+++ b/review/kit-2/fleet.sh
@@ -7,12 +7,13 @@
 done
 work=$(mktemp -d) || exit 2
 pids=()
+player=
 touch "$work/alive"
 finish() {
   exec 2>/dev/null
   rm -f "$work/alive"
   # The supervisors end first, so that none starts a daemon again.
-  for pid in "${pids[@]}"; do kill -KILL "$pid"; done
+  for pid in "${pids[@]}" $player; do kill -KILL "$pid"; done
   sleep 0.1
   for file in "$work"/pid-*; do [ -e "$file" ] && kill -KILL "$(cat "$file")"; done
   wait 2>/dev/null
@@ -35,8 +36,12 @@
 # play SCENARIO plays a scenario and exits with its verdict: 1 if the rule was broken, 0 if it held, 2 otherwise.
 play() {
   target/kit-2 play -scenario "$1" -store "$store" -fronts "$fronts" -readies "$readies" -pids "$daemons" \
-    -record "$CASE/record.txt" -trouble="$trouble" -seed "${SEED:-$$}"
-  case $? in
+    -record "$CASE/record.txt" -trouble="$trouble" -seed "${SEED:-$$}" &
+  player=$!
+  wait "$player"
+  local code=$?
+  player=
+  case $code in
     0) exit 0 ;;
     1) exit 1 ;;
     *) exit 2 ;;
