Tell daemons on standby who serves, and register only those that are needed

Change: a daemon first looks who serves, in a replica of the store. If it is not needed it stays idle: no entry, no lease, no copy of the store. It follows an active daemon of its zone over a WebSocket, which tells it the registered daemons at each change and once a second, with the store's revision and the age of that knowledge. A view of an earlier revision never replaces a later one. It reads the store only when it hears nothing, with a random delay, and less and less often while the store fails. Each zone has one daemon in reserve. An idle daemon that is missing joins after a random delay and a look at the store's latest state (core/standby, core/subset.RoleOf).

--- a/core/subset/subset.go
+++ b/core/subset/subset.go
@@ -1,10 +1,6 @@
 package subset
 
-import (
-	"cmp"
-	"slices"
-	"strings"
-)
+import "slices"
 
 const (
 	// minZoneCores is how many processor cores the active daemons of an availability zone have together
@@ -22,13 +18,11 @@
 	Cores float64
 }
 
-// Active returns the names of the daemons that take requests: in each availability zone the ones with the
+// Choose returns the names of the daemons that take requests: in each availability zone the ones with the
 // most cores, until they have enough cores together. The others are on standby.
-func Active(members []Member) map[string]bool {
+func Choose(members []Member) map[string]bool {
 	sorted := slices.Clone(members)
-	slices.SortFunc(sorted, func(a, b Member) int {
-		return cmp.Or(-cmp.Compare(a.Cores, b.Cores), strings.Compare(a.Name, b.Name))
-	})
+	slices.SortFunc(sorted, order)
 	active := make(map[string]bool)
 	cores := make(map[string]float64)
 	count := make(map[string]int)
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -90,11 +90,16 @@
 		},
 	}
 	e.registry = registry.New(options)
-	e.lease = registry.NewLease(options, e.registry.StablyActive)
-	links := relay.NewClient(ctx, now, &http.Client{Transport: &http.Transport{
+	e.lease = registry.NewLease(options, e.registry.Role, e.registry.RoleChanges())
+	peerClient := &http.Client{Transport: &http.Transport{
 		DialContext:            socket.NewDialer(relayDialTimeout, relayAckTimeout).DialContext,
 		MaxResponseHeaderBytes: maxRelayHeaderBytes,
-	}}, s.Name, e.relayAddresses, e.otherRelayAddresses)
+	}}
+	links := relay.NewClient(ctx, now, peerClient, s.Name, e.relayAddresses, e.otherRelayAddresses)
+	follower := &relay.Follower{
+		HTTPClient: peerClient, Wanted: e.registry.Following, Addresses: e.followedAddresses,
+		Hear: e.registry.Hear, HearNothing: e.registry.HearNothing,
+	}
 	e.gateway = gateway.New(gateway.Options{
 		Relay: links.Send,
 		Now:   now, View: e.registry.View, DaemonCount: e.registry.DaemonCount, StoreContact: e.registry.StoreContact,
@@ -123,6 +128,7 @@
 		return nil, err
 	}
 	go e.registry.Run(ctx)
+	go follower.Run(ctx)
 	go e.lease.Run(ctx)
 	go e.gateway.Run(ctx)
 	go e.idle.Run(ctx)
@@ -171,7 +177,7 @@
 		{s.ReadinessAddress, platform.ReadyHandler(e.Ready)},
 		{s.DirectoryAddress, platform.DirectoryHandler(e.addresses)},
 		{s.MetricsAddress, http.HandlerFunc(e.metrics)},
-		{s.RelayAddress, &relay.Server{Now: e.now, SendLegs: e.gateway.SendLegs, Warn: e.gateway.MergeWarning}},
+		{s.RelayAddress, e.peerHandler()},
 	}
 	for _, l := range listeners {
 		if l.address == "" {
@@ -193,6 +199,17 @@
 	return nil
 }
 
+// peerHandler returns the handler for other daemons.
+func (e *Entry) peerHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle(relay.Path, &relay.Server{Now: e.now, SendLegs: e.gateway.SendLegs, Warn: e.gateway.MergeWarning})
+	mux.Handle(relay.MembersPath, &relay.MembersServer{
+		View: e.registry.MemberView, Changed: e.registry.MembersChanged,
+	})
+
+	return mux
+}
+
 // stopping reports whether a planned stop is under way.
 func (e *Entry) stopping() bool { return e.stopAt.Load() != nil }
 
@@ -216,6 +233,16 @@
 	return e.relays(func(m registry.Member) bool { return m.Name != self })
 }
 
+// followedAddresses returns the relay addresses of the daemons that serve requests, those in this daemon's availability
+// zone first, and how many these are.
+func (e *Entry) followedAddresses() (addresses []string, sameZone int) {
+	zone := e.settings.Load().Zone
+	addresses = e.relayAddresses(zone)
+	sameZone = len(addresses)
+
+	return append(addresses, e.relays(func(m registry.Member) bool { return m.Zone != zone })...), sameZone
+}
+
 // relays returns the relay addresses of the daemons that match.
 func (e *Entry) relays(match func(registry.Member) bool) []string {
 	state := e.registry.State()
--- a/io/registry/lease.go
+++ b/io/registry/lease.go
@@ -8,6 +8,7 @@
 	"jacinthferry/core/clock"
 	"jacinthferry/core/event"
 	"jacinthferry/core/reason"
+	"jacinthferry/core/subset"
 	"jacinthferry/io/store"
 )
 
@@ -16,24 +17,26 @@
 	leaseTTL = 2 * clock.Second
 	// renewInterval is the time between two renewals.
 	renewInterval = 600 * clock.Millisecond
-	// standbyFactor multiplies both for a daemon that may be on standby.
-	standbyFactor = 3
+	// reserveFactor multiplies both for a daemon in reserve.
+	reserveFactor = 3
 )
 
-// Lease keeps this daemon's entry registered in the store. It is safe for concurrent use.
+// Lease keeps this daemon's entry registered in the store, unless the daemon is idle. It is safe for concurrent use.
 type Lease struct {
-	options  Options
-	settled  func() bool
+	options Options
+	role    func() subset.Role
+	// changes receives a value after the role has changed.
+	changes  <-chan struct{}
 	mu       sync.Mutex
 	id       string
 	factor   clock.Milli
 	released bool
 }
 
-// NewLease returns a lease that has not been granted yet. Once settled reports that the daemon serves
-// requests, the lease gets a short time to live, so that the loss of the daemon is detected quickly.
-func NewLease(options Options, settled func() bool) *Lease {
-	return &Lease{options: options, settled: settled, factor: standbyFactor}
+// NewLease returns a lease that has not been granted yet. It follows the daemon's role, whose changes it is told of. An
+// active daemon gets a short time to live, so that its loss is detected quickly.
+func NewLease(options Options, role func() subset.Role, changes <-chan struct{}) *Lease {
+	return &Lease{options: options, role: role, changes: changes, factor: 1}
 }
 
 // Run registers the daemon and renews its lease until ctx is done.
@@ -41,24 +44,39 @@
 	for ctx.Err() == nil {
 		l.mu.Lock()
 		if !l.released {
-			l.renew(ctx)
+			l.keep(ctx)
 		}
 		interval := renewInterval * l.factor
 		l.mu.Unlock()
-		sleep(ctx, interval)
+		sleep(ctx, interval, l.changes)
 	}
 }
 
-// renew renews the lease, or registers the daemon under a new one when there is none or it has expired.
-func (l *Lease) renew(ctx context.Context) {
-	factor := clock.Milli(standbyFactor)
-	if l.settled() {
-		factor = 1
+// keep registers the daemon if its role asks for that, and lets the lease expire if not.
+func (l *Lease) keep(ctx context.Context) {
+	switch l.role() {
+	case subset.Active:
+		l.setFactor(1)
+		l.renew(ctx)
+	case subset.Reserve:
+		l.setFactor(reserveFactor)
+		l.renew(ctx)
+	default:
+		l.setFactor(reserveFactor)
+		l.id = ""
 	}
+}
+
+// setFactor sets what multiplies the time to live. The entry moves to another lease when it changes; the old lease is
+// left to expire.
+func (l *Lease) setFactor(factor clock.Milli) {
 	if factor != l.factor {
-		// The entry moves to a lease with another time to live; the old lease is left to expire.
 		l.factor, l.id = factor, ""
 	}
+}
+
+// renew renews the lease, or registers the daemon under a new one when there is none or it has expired.
+func (l *Lease) renew(ctx context.Context) {
 	if l.id != "" {
 		lease, err := l.options.Store.Renew(ctx, l.id)
 		if err != nil || lease.Live {
--- a/io/registry/record.go
+++ b/io/registry/record.go
@@ -7,6 +7,7 @@
 	"jacinthferry/core/catalog"
 	"jacinthferry/core/clock"
 	"jacinthferry/core/rollout"
+	"jacinthferry/core/subset"
 	"jacinthferry/io/store"
 )
 
@@ -73,6 +74,11 @@
 	Cores float64 `json:"cores"`
 }
 
+// candidate returns what the choice of the active daemons depends on.
+func (m Member) candidate() subset.Member {
+	return subset.Member{Name: m.Name, Zone: m.Zone, Cores: m.Cores}
+}
+
 func (m Member) key() string { return memberPrefix + m.Name }
 
 func (m Member) value() (string, error) {
--- a/io/registry/registry.go
+++ b/io/registry/registry.go
@@ -13,6 +13,7 @@
 	"jacinthferry/core/quarantine"
 	"jacinthferry/core/reason"
 	"jacinthferry/core/rollout"
+	"jacinthferry/core/standby"
 	"jacinthferry/io/store"
 )
 
@@ -70,11 +71,13 @@
 	View *catalog.View
 	// Members are the daemons that serve requests, ordered by name.
 	Members []Member
+	// Registered are these and those in reserve, ordered by name.
+	Registered []Member
 	// Standby is set while this daemon is not one of them.
 	Standby bool
 	// DaemonCount is the highest number of active daemons known within daemonCountWindow.
 	DaemonCount int
-	// Revision is the store's, or 0 when an inactive standby daemon polled, and At is when it was read.
+	// Revision is the store's, or 0 on a standby daemon that does not watch the store, and At is when it was read.
 	Revision int64
 	At       clock.Milli
 }
@@ -103,8 +106,17 @@
 	// this daemon's address cached.
 	standby     bool
 	retireAt    clock.Milli
-	wasActive   bool
 	startupDone bool
+	// machine decides while this daemon is on standby, and registered are the registered daemons that it knows of.
+	machine    *standby.Machine
+	registered []Member
+	// joinedAt is when this daemon became active, or 0 once its entry has been seen.
+	joinedAt clock.Milli
+	// role is a subset.Role. A change sends to roleChanges.
+	role        atomic.Int32
+	roleChanges chan struct{}
+	// hearing ends a wait on standby.
+	hearing chan struct{}
 	// assignments says which versions of a service with a version move take requests, as it was last recorded.
 	assignments map[string]string
 	// analyzer detects bad new versions from the counts of all daemons.
@@ -113,9 +125,15 @@
 	resultsSent map[string]clock.Milli
 	// inherited holds the counts of this daemon's previous run, by service.
 	inherited map[string]results
-	// mu guards crashes, the crashes of upstreams that this daemon saw, oldest first.
-	mu      sync.Mutex
+	// mu guards the fields up to the next empty line.
+	mu sync.Mutex
+	// crashes are the crashes of upstreams that this daemon saw, oldest first.
 	crashes []publishedCrash
+	// heard are the views of other daemons that the control loop has not seen yet.
+	heard []heardView
+	// membersChanged is closed and replaced when the registered daemons change.
+	membersChanged chan struct{}
+
 	// wake ends a waiting watch, and inheritedCrashes is set once the previous run's crashes are taken over.
 	wake             chan struct{}
 	inheritedCrashes bool
@@ -135,7 +153,9 @@
 		options: options, entries: make(map[string]storedRecord), removed: make(map[string]removedUpstream),
 		analyzer: rollout.NewAnalyzer(), assignments: make(map[string]string),
 		resultsSent: make(map[string]clock.Milli), inherited: make(map[string]results), started: options.Now(),
-		wake: make(chan struct{}, 1),
+		wake: make(chan struct{}, 1), hearing: make(chan struct{}, 1), roleChanges: make(chan struct{}, 1),
+		membersChanged: make(chan struct{}), standby: true,
+		machine: standby.New(options.Self.candidate(), rand.Float64),
 	}
 }
 
@@ -159,55 +179,44 @@
 	return s != nil && s.Standby
 }
 
-// StablyActive reports whether this daemon serves requests and its startup period is over.
-func (r *Registry) StablyActive() bool {
-	s := r.state.Load()
-
-	return s != nil && !s.Standby && r.options.Now()-r.started >= startupPeriod
-}
-
 // StoreContact returns when the store last answered a list or watch that updated the registry, or 0 if never.
 func (r *Registry) StoreContact() clock.Milli { return clock.Milli(r.lastContact.Load()) }
 
 // Run keeps the registry up to date with the store until ctx is done.
 func (r *Registry) Run(ctx context.Context) {
 	for ctx.Err() == nil {
-		sleep(ctx, r.iterate(ctx))
+		r.sleep(ctx, r.iterate(ctx))
 	}
 }
 
 // iterate runs one iteration of the control loop and returns the delay before the next.
 func (r *Registry) iterate(ctx context.Context) clock.Milli {
+	if r.inactive() {
+		if wait := r.iterateStandby(ctx); r.standby || wait > 0 {
+			return wait
+		}
+	}
 	if err := r.poll(ctx); err != nil {
 		r.handleFailure(err)
 
-		return r.backoff * clock.Milli(0.5+rand.Float64()/2)
+		return r.jitteredBackoff()
 	}
 	r.handleRecovery()
-	if !r.inactive() {
-		r.advanceMoves(ctx)
-		r.shareCrashes(ctx)
-	}
-	switch {
-	case r.inactive():
-		return standbyInterval
-	case r.options.Now()-r.started < startupPeriod:
+	r.advanceMoves(ctx)
+	r.shareCrashes(ctx)
+	if r.options.Now()-r.started < startupPeriod {
 		// All daemons and upstreams register at the start of a deployment; a longer delay saves calls.
 		return startupPeriod / 2
-	default:
-		return watchInterval
 	}
+
+	return watchInterval
 }
 
 // inactive reports whether this daemon is on standby and callers no longer have its address cached.
 func (r *Registry) inactive() bool { return r.standby && r.options.Now() >= r.retireAt }
 
 // poll updates the state from the store: by a list of all entries at first, and by a watch afterwards.
-// While this daemon is inactive it only lists the daemons.
 func (r *Registry) poll(ctx context.Context) error {
-	if r.inactive() {
-		return r.pollStandby(ctx)
-	}
 	r.endRestore(r.options.Now())
 	if !r.loaded {
 		return r.load(ctx)
@@ -314,7 +323,11 @@
 // again, the next iteration reloads all entries.
 func (r *Registry) handleFailure(err error) {
 	now := r.options.Now()
-	r.backoff = min(maxBackoff, max(minBackoff, 2*r.backoff))
+	limit := maxBackoff
+	if r.Following() {
+		limit = maxStandbyBackoff
+	}
+	r.backoff = min(limit, max(minBackoff, 2*r.backoff))
 	r.graceUntil = now + expiryGrace
 	word := reason.Store
 	if refusal, ok := err.(*reason.Refusal); ok { //nolint:errorlint // The store returns it unwrapped.
@@ -335,6 +348,11 @@
 	}
 }
 
+// jitteredBackoff returns the delay after a failed call.
+func (r *Registry) jitteredBackoff() clock.Milli {
+	return r.backoff * clock.Milli(0.5+rand.Float64()/2)
+}
+
 // cannotResume reports whether a watch that failed for a reason would fail again from the same revision: the store no
 // longer has its history, or its answer cannot be read, which is not shorter the next time.
 func cannotResume(word reason.Code) bool {
@@ -352,11 +370,22 @@
 	}
 }
 
-func sleep(ctx context.Context, span clock.Milli) {
+// sleep waits for a span. On standby it ends early when a view of another daemon arrives.
+func (r *Registry) sleep(ctx context.Context, span clock.Milli) {
+	hearing := r.hearing
+	if !r.inactive() {
+		hearing = nil
+	}
+	sleep(ctx, span, hearing)
+}
+
+// sleep waits for a span, until ctx is done or until wake receives.
+func sleep(ctx context.Context, span clock.Milli, wake <-chan struct{}) {
 	timer := time.NewTimer(span.Duration())
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
+	case <-wake:
 	case <-timer.C:
 	}
 }
--- a/io/registry/standby.go
+++ b/io/registry/standby.go
@@ -8,37 +8,146 @@
 	"jacinthferry/core/catalog"
 	"jacinthferry/core/clock"
 	"jacinthferry/core/event"
+	"jacinthferry/core/standby"
 	"jacinthferry/core/subset"
+	"jacinthferry/io/store"
 )
 
 const (
-	// startupPeriod is how long after its start a daemon serves requests regardless of the other daemons,
+	// startupPeriod is how long after its start an active daemon serves requests regardless of the other daemons,
 	// since it may not know them yet.
 	startupPeriod = 2 * clock.Second
 	// retirePeriod is how long a daemon that goes on standby keeps watching the store. It is longer than
 	// callers cache an answer of the directory.
 	retirePeriod = 10 * clock.Second
-	// standbyInterval is the time between two polls of the registered daemons by a standby daemon.
-	standbyInterval = 2 * clock.Second
+	// registrationPeriod is how long a daemon that becomes active counts itself as registered before its entry is seen.
+	registrationPeriod = 4 * clock.Second
+	// maxStandbyBackoff bounds the delay after a failed call of a daemon on standby.
+	maxStandbyBackoff = 4 * clock.Second
 )
 
-// activeMembers returns the daemons that serve requests, ordered by name, and updates this daemon's role.
-func (r *Registry) activeMembers(now clock.Milli) []Member {
-	var all []Member
-	var candidates []subset.Member
+// MemberView is the list of registered daemons as one daemon knows it.
+type MemberView struct {
+	Members []Member
+	// Revision is the store's, and Age is how long ago the store was known to be there.
+	Revision int64
+	Age      clock.Milli
+}
+
+// Role returns what this daemon does for its zone. It is safe for concurrent use.
+func (r *Registry) Role() subset.Role { return subset.Role(r.role.Load()) }
+
+// RoleChanges returns a channel that receives a value after the role has changed.
+func (r *Registry) RoleChanges() <-chan struct{} { return r.roleChanges }
+
+func (r *Registry) setRole(role subset.Role) {
+	if r.role.Swap(int32(role)) == int32(role) {
+		return
+	}
+	r.recordEvent(event.Event{Kind: event.Member, Detail: "role is " + role.String()})
+	select {
+	case r.roleChanges <- struct{}{}:
+	default:
+	}
+}
+
+// Following reports whether this daemon is on standby and is to be told of the registered daemons by an active one. It
+// is safe for concurrent use.
+func (r *Registry) Following() bool {
+	s := r.state.Load()
+
+	return s != nil && s.Standby && s.Revision == 0
+}
+
+// MemberView returns the view for daemons on standby, or false while this daemon does not watch the store. It is safe
+// for concurrent use.
+func (r *Registry) MemberView() (MemberView, bool) {
+	s := r.state.Load()
+	if s == nil || s.Revision == 0 {
+		return MemberView{}, false
+	}
+
+	return MemberView{
+		Members: s.Registered, Revision: s.Revision, Age: r.options.Now() - r.StoreContact(),
+	}, true
+}
+
+// MembersChanged returns a channel that is closed at the next change of the registered daemons. It is safe for
+// concurrent use.
+func (r *Registry) MembersChanged() <-chan struct{} {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+
+	return r.membersChanged
+}
+
+// Hear is called with the view that another daemon has. It is safe for concurrent use.
+func (r *Registry) Hear(v MemberView) { r.hear(heardView{view: &v}) }
+
+// HearNothing is called when there is no other daemon to hear from. It is safe for concurrent use.
+func (r *Registry) HearNothing() { r.hear(heardView{}) }
+
+func (r *Registry) hear(h heardView) {
+	h.at = r.options.Now()
+	r.mu.Lock()
+	r.heard = append(r.heard, h)
+	r.heard = r.heard[max(0, len(r.heard)-maxHeardViews):]
+	r.mu.Unlock()
+	select {
+	case r.hearing <- struct{}{}:
+	default:
+	}
+}
+
+// heardView is a view of another daemon, or nil when there is none to hear from, and when it arrived.
+type heardView struct {
+	view *MemberView
+	at   clock.Milli
+}
+
+// maxHeardViews is how many views of other daemons wait for the control loop.
+const maxHeardViews = 4
+
+// activeMembers returns the registered daemons and those of them that serve requests, both ordered by name, and updates
+// this daemon's role.
+func (r *Registry) activeMembers(now clock.Milli) (registered, active []Member) {
+	listed := false
 	for _, s := range r.entries {
 		if s.record.Kind == Daemon {
-			m := s.record.Member
-			all = append(all, m)
-			candidates = append(candidates, subset.Member{Name: m.Name, Zone: m.Zone, Cores: m.Cores})
+			registered = append(registered, s.record.Member)
+			listed = listed || s.record.Member.Name == r.options.Self.Name
 		}
 	}
-	active := subset.Active(candidates)
-	r.updateRole(now, active[r.options.Self.Name], len(active) > 0)
-	members := slices.DeleteFunc(all, func(m Member) bool { return !active[m.Name] })
-	slices.SortFunc(members, func(a, b Member) int { return strings.Compare(a.Name, b.Name) })
+	if listed {
+		r.joinedAt = 0
+	}
+	if r.joinedAt != 0 && now < r.joinedAt+registrationPeriod {
+		registered = append(registered, r.options.Self)
+	}
+	slices.SortFunc(registered, func(a, b Member) int { return strings.Compare(a.Name, b.Name) })
+	candidates := candidatesOf(registered)
+	chosen := subset.Choose(candidates)
+	r.updateRole(now, chosen[r.options.Self.Name], len(chosen) > 0)
+	if r.standby {
+		r.setRole(subset.RoleOf(candidates, r.options.Self.candidate()))
+	} else {
+		r.setRole(subset.Active)
+	}
 
-	return members
+	return registered, chosenOf(registered, chosen)
+}
+
+func chosenOf(registered []Member, chosen map[string]bool) []Member {
+	return slices.DeleteFunc(slices.Clone(registered), func(m Member) bool { return !chosen[m.Name] })
+}
+
+func candidatesOf(members []Member) []subset.Member {
+	list := make([]subset.Member, 0, len(members))
+	for _, m := range members {
+		list = append(list, m.candidate())
+	}
+
+	return list
 }
 
 // updateRole makes this daemon active or puts it on standby. It is active while no daemon is known to be.
@@ -48,37 +157,119 @@
 		if r.standby {
 			r.recordEvent(event.Event{Kind: event.Member, Detail: "daemon is active"})
 		}
-		r.standby, r.wasActive = false, true
+		r.standby = false
 	case !r.standby && now-r.started >= startupPeriod:
 		r.recordEvent(event.Event{Kind: event.Member, Detail: "daemon is on standby"})
-		r.standby, r.retireAt = true, now
-		if r.wasActive {
-			r.retireAt = now + retirePeriod
-		}
+		r.standby, r.retireAt = true, now+retirePeriod
 	}
 }
 
-// pollStandby lists the registered daemons and reloads the whole store if this daemon has to become
-// active. A standby daemon does not keep routes and upstreams up to date, so it discards them.
-func (r *Registry) pollStandby(ctx context.Context) error {
-	list, _, err := r.options.Store.ListStale(ctx, memberPrefix)
+// iterateStandby runs one iteration of the control loop on standby and returns the delay before the next.
+func (r *Registry) iterateStandby(ctx context.Context) clock.Milli {
+	if r.loaded {
+		r.retire()
+	}
+	r.takeHeardViews()
+	if !r.standby {
+		return 0
+	}
+	action, until := r.machine.Next(r.options.Now())
+	if action == standby.Wait {
+		return max(minWatchTimeout, until-r.options.Now())
+	}
+	if err := r.readMembers(ctx, action); err != nil {
+		r.handleFailure(err)
+
+		return r.jitteredBackoff()
+	}
+	r.handleRecovery()
+
+	return 0
+}
+
+// retire ends the watching of the store. A standby daemon does not keep routes and upstreams up to date, so it discards
+// them.
+func (r *Registry) retire() {
+	s := r.state.Load()
+	r.loaded = false
+	clear(r.entries)
+	r.machine.Resume(r.options.Now(), standby.View{Members: candidatesOf(s.Registered), Revision: s.Revision})
+	r.registered = s.Registered
+	r.publishStandby()
+}
+
+// readMembers reads the registered daemons from the store.
+func (r *Registry) readMembers(ctx context.Context, action standby.Action) error {
+	list, source := r.options.Store.ListStale, standby.Replica
+	if action == standby.ReadStore {
+		list, source = r.options.Store.List, standby.Store
+	}
+	entries, revision, err := list(ctx, memberPrefix)
 	if err != nil {
 		return err //nolint:wrapcheck // It is a refusal of the store.
 	}
 	now := r.options.Now()
-	r.loaded = false
-	clear(r.entries)
-	for _, e := range list {
-		r.apply(now, e)
+	members := r.decodeMembers(entries, now)
+	if r.machine.Read(now, standby.View{Members: candidatesOf(members), Revision: revision}, source) {
+		r.registered = members
 	}
-	members := r.activeMembers(now)
-	if !r.standby {
-		return r.load(ctx)
+	r.followMachine(now)
+
+	return nil
+}
+
+func (r *Registry) decodeMembers(entries []store.Entry, now clock.Milli) []Member {
+	var members []Member
+	for _, e := range entries {
+		record, err := r.options.decode(e, now)
+		if err == nil && record.Kind == Daemon {
+			members = append(members, record.Member)
+		}
 	}
+	slices.SortFunc(members, func(a, b Member) int { return strings.Compare(a.Name, b.Name) })
+
+	return members
+}
+
+// takeHeardViews takes over the views of other daemons that have arrived.
+func (r *Registry) takeHeardViews() {
+	r.mu.Lock()
+	heard := r.heard
+	r.heard = nil
+	r.mu.Unlock()
+	for _, h := range heard {
+		if h.view == nil {
+			r.machine.HearNothing(h.at)
+
+			continue
+		}
+		view := standby.View{Members: candidatesOf(h.view.Members), Revision: h.view.Revision}
+		if r.machine.Hear(h.at, view, h.view.Age) {
+			r.registered = h.view.Members
+		}
+	}
+	if len(heard) > 0 {
+		r.followMachine(r.options.Now())
+	}
+}
+
+// followMachine takes the role that the machine decided on. A daemon that becomes active reads the whole store next.
+func (r *Registry) followMachine(now clock.Milli) {
+	r.setRole(r.machine.Role())
+	if r.machine.Role() != subset.Active {
+		r.publishStandby()
+
+		return
+	}
+	r.recordEvent(event.Event{Kind: event.Member, Detail: "daemon is active"})
+	r.standby, r.joinedAt = false, now
+}
+
+func (r *Registry) publishStandby() {
+	now := r.options.Now()
+	members := chosenOf(r.registered, subset.Choose(candidatesOf(r.registered)))
 	r.state.Store(&State{
-		View: catalog.NewView(nil, nil, nil), Members: members, Standby: true,
+		View: catalog.NewView(nil, nil, nil), Members: members, Registered: r.registered, Standby: true,
 		DaemonCount: r.peakDaemons(now, len(members)), At: now,
 	})
-
-	return nil
 }
--- a/io/registry/state.go
+++ b/io/registry/state.go
@@ -1,6 +1,8 @@
 package registry
 
 import (
+	"slices"
+
 	"jacinthferry/core/catalog"
 	"jacinthferry/core/clock"
 )
@@ -42,11 +44,22 @@
 		view = view.WithRollouts(moves)
 		r.recordAssignments(view, moves)
 	}
-	members := r.activeMembers(now)
-	r.state.Store(&State{
-		View: view, Members: members, Standby: r.standby,
+	registered, members := r.activeMembers(now)
+	before := r.state.Swap(&State{
+		View: view, Members: members, Registered: registered, Standby: r.standby,
 		DaemonCount: r.peakDaemons(now, len(members)), Revision: r.watchRevision, At: now,
 	})
+	if before == nil || !slices.Equal(before.Registered, registered) {
+		r.announceMembers()
+	}
+}
+
+// announceMembers wakes those that wait for a change of the registered daemons.
+func (r *Registry) announceMembers() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	close(r.membersChanged)
+	r.membersChanged = make(chan struct{})
 }
 
 // peakDaemons adds a sample and returns the highest number of daemons in the counting window. A daemon
