--- a/core/standby/standby.go
+++ b/core/standby/standby.go
@@ -1,6 +1,8 @@
 package standby
 
 import (
+	"fmt"
+
 	"jacinthferry/core/clock"
 	"jacinthferry/core/subset"
 )
@@ -68,11 +70,15 @@
 	checked bool
 }
 
-// New returns the state of a daemon that has just started. Random returns numbers from 0 up to 1.
+// New returns the state of a daemon that knows nothing yet. Random returns numbers from 0 up to 1.
 func New(self subset.Member, random func() float64) *Machine {
 	return &Machine{self: self, random: random}
 }
 
+// StartsActive reports whether a daemon takes requests from its start on, until it knows the others. One of which a
+// zone needs many stands by first, since hundreds may start with it.
+func StartsActive(self subset.Member) bool { return subset.ZoneSize(self) <= smallZone }
+
 // Role returns the role that the daemon has. An idle daemon is not registered; an active one is no longer on standby.
 func (m *Machine) Role() subset.Role { return m.role }
 
@@ -107,12 +113,8 @@
 
 // Read takes over a view that was read from the store. It reports whether that is at least as late as the known one.
 func (m *Machine) Read(now clock.Milli, v View, source Source) bool {
-	first := !m.known
 	m.readAt = now + readInterval/2 + m.spread(readInterval)
 	taken := m.take(v)
-	if taken && first && subset.ZoneSize(m.self) <= smallZone {
-		m.role = subset.RoleOf(v.Members, m.self)
-	}
 	m.decide(now)
 	switch {
 	case m.joinAt == 0 || now < m.joinAt:
@@ -188,3 +190,11 @@
 }
 
 func (m *Machine) spread(span clock.Milli) clock.Milli { return clock.Milli(m.random()) * span }
+
+// Known returns the latest view.
+func (m *Machine) Known() View { return m.view }
+
+// String describes the state.
+func (m *Machine) String() string {
+	return fmt.Sprint(m.role, m.view, m.known, m.freshUntil, m.readAt, m.joinAt, m.joining, m.checked)
+}
--- a/core/standby/standby_test.go
+++ b/core/standby/standby_test.go
@@ -23,9 +23,9 @@
 	return standby.View{Members: []subset.Member{member("l1", 0.8), member("l2", 0.8), member("r", 0.2)}, Revision: revision}
 }
 
-// unserved is a zone that has lost one of its two active daemons.
+// unserved is a zone that has lost both active daemons.
 func unserved(revision int64) standby.View {
-	return standby.View{Members: []subset.Member{member("l2", 0.8), member("r", 0.2)}, Revision: revision}
+	return standby.View{Members: []subset.Member{member("r", 0.2)}, Revision: revision}
 }
 
 // reads counts the reads of the store that a daemon makes in a span if each returns view.
@@ -154,13 +154,13 @@
 		Expect(until).To(BeNumerically(">=", start+2000))
 	})
 
-	It("is active at once after its start if few daemons of its size make a zone, or if it is registered", func() {
-		large := standby.New(member("self", 0.4), half)
-		large.Read(start, standby.View{Revision: 1}, standby.Replica)
-		Expect(large.Role()).To(Equal(subset.Active))
+	It("starts active if few daemons of its size make a zone, and else if it is still registered", func() {
+		Expect(standby.StartsActive(member("self", 0.8))).To(BeTrue())
+		Expect(standby.StartsActive(member("self", 0.4))).To(BeTrue())
+		Expect(standby.StartsActive(member("self", 0.2))).To(BeFalse(), "there may be hundreds that start with it")
 		small := standby.New(member("self", 0.2), half)
 		small.Read(start, standby.View{Revision: 1}, standby.Replica)
-		Expect(small.Role()).To(Equal(subset.Idle), "there may be hundreds that start with it")
+		Expect(small.Role()).To(Equal(subset.Idle))
 		registered := standby.New(member("self", 0.2), half)
 		registered.Read(start, standby.View{Members: []subset.Member{member("self", 0.2)}, Revision: 1}, standby.Replica)
 		Expect(registered.Role()).To(Equal(subset.Active))
@@ -168,8 +168,8 @@
 
 	It("gives up its place in reserve when there are more than needed", func() {
 		m := standby.New(member("self", 0.2), half)
-		view := unserved(1)
-		view.Members = append(view.Members, member("l1", 0.8), member("self", 0.2))
+		view := served(1)
+		view.Members = append(view.Members, member("self", 0.2))
 		m.Read(start, view, standby.Replica)
 		Expect(m.Role()).To(Equal(subset.Idle))
 	})
--- a/core/subset/role.go
+++ b/core/subset/role.go
@@ -33,27 +33,21 @@
 // nothing by taking another's place.
 func RoleOf(registered []Member, self Member) Role {
 	zone := slices.DeleteFunc(slices.Clone(registered), func(m Member) bool { return m.Zone != self.Zone })
-	listed := slices.ContainsFunc(zone, func(m Member) bool { return m.Name == self.Name })
-	if !listed && !isMissing(zone, self) {
-		return reserveRole(zone, self)
-	}
-	if !listed {
-		zone = append(zone, self)
-	}
-	if Choose(zone)[self.Name] {
+	own := slices.IndexFunc(zone, func(m Member) bool { return m.Name == self.Name })
+	switch {
+	case own >= 0:
+		self = zone[own]
+	case isMissing(zone, self):
 		return Active
+	default:
 	}
-
-	return reserveRole(zone, self)
-}
-
-// reserveRole returns Reserve if a daemon that is not active belongs to the reserves of its zone, and Idle if not.
-func reserveRole(zone []Member, self Member) Role {
 	chosen := Choose(zone)
-	listed := slices.Contains(zone, self)
+	if chosen[self.Name] {
+		return Active
+	}
 	reserves := 0
 	for _, m := range zone {
-		if m.Name != self.Name && !chosen[m.Name] && (!listed || order(m, self) < 0) {
+		if !chosen[m.Name] && (own < 0 || order(m, self) < 0) {
 			reserves++
 		}
 	}
@@ -90,7 +84,8 @@
 	return max(minZoneDaemons, int(math.Ceil(minZoneCores/m.Cores)))
 }
 
-// order compares two daemons by the order in which they are chosen: the larger one first, and else by name.
+// order compares two daemons by the order in which they are chosen: the larger one first, then the one that registered
+// first, so that a daemon that joins does not replace an equal one that is at work.
 func order(a, b Member) int {
-	return cmp.Or(-cmp.Compare(a.Cores, b.Cores), strings.Compare(a.Name, b.Name))
+	return cmp.Or(-cmp.Compare(a.Cores, b.Cores), cmp.Compare(a.Since, b.Since), strings.Compare(a.Name, b.Name))
 }
--- a/core/subset/subset.go
+++ b/core/subset/subset.go
@@ -16,10 +16,13 @@
 	Zone string
 	// Cores is how many processor cores it may use, which can be a fraction.
 	Cores float64
+	// Since is the store's revision at which it registered, or 0 if that is not known.
+	Since int64
 }
 
 // Choose returns the names of the daemons that take requests: in each availability zone the ones with the
-// most cores, until they have enough cores together. The others are on standby.
+// most cores, and of equal ones those that registered first, until they have enough cores together. The others are on
+// standby.
 func Choose(members []Member) map[string]bool {
 	sorted := slices.Clone(members)
 	slices.SortFunc(sorted, order)
--- a/core/subset/subset_test.go
+++ b/core/subset/subset_test.go
@@ -55,6 +55,15 @@
 		}
 	})
 
+	It("keeps those at work when equal ones register later", func() {
+		var all []subset.Member
+		for i, name := range []string{"c", "b", "a"} {
+			all = append(all, subset.Member{Name: name, Zone: "a", Cores: 0.8, Since: int64(i)})
+		}
+		Expect(sortedNames(subset.Choose(all))).To(Equal([]string{"b", "c"}))
+		Expect(subset.RoleOf(all, subset.Member{Name: "a", Zone: "a", Cores: 0.8})).To(Equal(subset.Reserve))
+	})
+
 	It("replaces a lost daemon by one other and keeps the rest", func() {
 		all := newZone("a", 0.8, 0.8, 0.8, 0.2)
 		before := subset.Choose(all)
--- a/io/registry/record.go
+++ b/io/registry/record.go
@@ -62,6 +62,8 @@
 	Relay string
 	// Cores is its CPU limit, as a fraction of a core.
 	Cores float64
+	// Since is the store's revision at which it registered, or 0 if that is not known.
+	Since int64
 }
 
 // memberPrefix is the key prefix of registered daemons. The daemon's name follows.
@@ -108,6 +110,6 @@
 	}
 
 	return Record{Kind: Daemon, Member: Member{
-		Name: name, Front: m.Front, Zone: m.Zone, Relay: m.Relay, Cores: m.Cores,
+		Name: name, Front: m.Front, Zone: m.Zone, Relay: m.Relay, Cores: m.Cores, Since: e.Created,
 	}}, nil
 }
--- a/io/registry/registry.go
+++ b/io/registry/registry.go
@@ -14,6 +14,7 @@
 	"jacinthferry/core/reason"
 	"jacinthferry/core/rollout"
 	"jacinthferry/core/standby"
+	"jacinthferry/core/subset"
 	"jacinthferry/io/store"
 )
 
@@ -106,6 +107,7 @@
 	// this daemon's address cached.
 	standby     bool
 	retireAt    clock.Milli
+	wasActive   bool
 	startupDone bool
 	// machine decides while this daemon is on standby, and registered are the registered daemons that it knows of.
 	machine    *standby.Machine
@@ -149,14 +151,20 @@
 
 // New returns an empty registry. Run fills it.
 func New(options Options) *Registry {
-	return &Registry{
+	r := &Registry{
 		options: options, entries: make(map[string]storedRecord), removed: make(map[string]removedUpstream),
 		analyzer: rollout.NewAnalyzer(), assignments: make(map[string]string),
 		resultsSent: make(map[string]clock.Milli), inherited: make(map[string]results), started: options.Now(),
 		wake: make(chan struct{}, 1), hearing: make(chan struct{}, 1), roleChanges: make(chan struct{}, 1),
-		membersChanged: make(chan struct{}), standby: true,
-		machine: standby.New(options.Self.candidate(), rand.Float64),
+		membersChanged: make(chan struct{}), machine: standby.New(options.Self.candidate(), rand.Float64),
 	}
+	if standby.StartsActive(options.Self.candidate()) {
+		r.role.Store(int32(subset.Active))
+	} else {
+		r.standby = true
+	}
+
+	return r
 }
 
 // State returns the latest snapshot, or nil before the first load from the store.
--- a/io/registry/standby.go
+++ b/io/registry/standby.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"slices"
 	"strings"
 
@@ -14,7 +15,7 @@
 )
 
 const (
-	// startupPeriod is how long after its start an active daemon serves requests regardless of the other daemons,
+	// startupPeriod is how long after its start a daemon that starts active serves requests regardless of the others,
 	// since it may not know them yet.
 	startupPeriod = 2 * clock.Second
 	// retirePeriod is how long a daemon that goes on standby keeps watching the store. It is longer than
@@ -122,7 +123,9 @@
 		r.joinedAt = 0
 	}
 	if r.joinedAt != 0 && now < r.joinedAt+registrationPeriod {
-		registered = append(registered, r.options.Self)
+		self := r.options.Self
+		self.Since = math.MaxInt64
+		registered = append(registered, self)
 	}
 	slices.SortFunc(registered, func(a, b Member) int { return strings.Compare(a.Name, b.Name) })
 	candidates := candidatesOf(registered)
@@ -137,8 +140,9 @@
 	return registered, chosenOf(registered, chosen)
 }
 
-func chosenOf(registered []Member, chosen map[string]bool) []Member {
-	return slices.DeleteFunc(slices.Clone(registered), func(m Member) bool { return !chosen[m.Name] })
+// chosenOf returns the members whose names are chosen.
+func chosenOf(members []Member, chosen map[string]bool) []Member {
+	return slices.DeleteFunc(slices.Clone(members), func(m Member) bool { return !chosen[m.Name] })
 }
 
 func candidatesOf(members []Member) []subset.Member {
@@ -157,10 +161,13 @@
 		if r.standby {
 			r.recordEvent(event.Event{Kind: event.Member, Detail: "daemon is active"})
 		}
-		r.standby = false
+		r.standby, r.wasActive = false, true
 	case !r.standby && now-r.started >= startupPeriod:
 		r.recordEvent(event.Event{Kind: event.Member, Detail: "daemon is on standby"})
-		r.standby, r.retireAt = true, now+retirePeriod
+		r.standby, r.retireAt = true, now
+		if r.wasActive {
+			r.retireAt = now + retirePeriod
+		}
 	}
 }
 
@@ -262,14 +269,15 @@
 		return
 	}
 	r.recordEvent(event.Event{Kind: event.Member, Detail: "daemon is active"})
-	r.standby, r.joinedAt = false, now
+	r.standby, r.wasActive, r.joinedAt = false, true, now
 }
 
 func (r *Registry) publishStandby() {
 	now := r.options.Now()
 	members := chosenOf(r.registered, subset.Choose(candidatesOf(r.registered)))
 	r.state.Store(&State{
-		View: catalog.NewView(nil, nil, nil), Members: members, Registered: r.registered, Standby: true,
+		View: catalog.NewView(nil, nil, nil), Members: members, Registered: r.registered,
+		Standby:     true,
 		DaemonCount: r.peakDaemons(now, len(members)), At: now,
 	})
 }
--- a/io/relay/members.go
+++ b/io/relay/members.go
@@ -44,6 +44,7 @@
 	Zone  string
 	Relay string
 	Cores float64
+	Since int64
 }
 
 // MembersServer is an http.Handler that tells daemons on standby which daemons are registered. Its fields must not
@@ -99,6 +100,7 @@
 		for _, member := range view.Members {
 			m.Members = append(m.Members, memberEntry{
 				Name: member.Name, Front: member.Front, Zone: member.Zone, Relay: member.Relay, Cores: member.Cores,
+				Since: member.Since,
 			})
 		}
 	}
@@ -122,7 +124,7 @@
 		v.Members = make([]registry.Member, 0, len(m.Members))
 		for _, e := range m.Members {
 			v.Members = append(v.Members, registry.Member{
-				Name: e.Name, Front: e.Front, Zone: e.Zone, Relay: e.Relay, Cores: e.Cores,
+				Name: e.Name, Front: e.Front, Zone: e.Zone, Relay: e.Relay, Cores: e.Cores, Since: e.Since,
 			})
 		}
 	}
