Let fewer weak daemons replace strong ones, and tell callers of strong ones

Cause: when a zone of the grown sites loses its two daemons of 0.8 cores, nine of 0.192 took their place, and callers, who choose at random, sent each of these as many queries as a strong one. A weak daemon takes long to merge an answer, while the busiest uses a twentieth of a core; each further daemon opens connections and learns the upstreams anew.

Change: a zone's active daemons have 0.9 cores together in place of 1.6 (two daemons at least, as before; three of the small sites' size). Callers are told of strong daemons alone while these have three quarters of the cores (core/subset.Named); weak ones send legs for others, and serve callers that know them.

--- a/core/subset/subset.go
+++ b/core/subset/subset.go
@@ -5,7 +5,7 @@
 const (
 	// minZoneCores is how many processor cores the active daemons of an availability zone have together
 	// at least, where the zone has as many.
-	minZoneCores = 1.6
+	minZoneCores = 0.9
 	// minZoneDaemons is how many daemons of a zone are active at least, so that one can be lost.
 	minZoneDaemons = 2
 )
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -270,7 +270,7 @@
 		return platform.Addresses{}
 	}
 	var sameZone, otherZones []string
-	for _, m := range state.Members {
+	for _, m := range state.Named {
 		if m.Zone == zone {
 			sameZone = append(sameZone, m.Front)
 		} else {
--- a/io/registry/registry.go
+++ b/io/registry/registry.go
@@ -72,7 +72,9 @@
 	View *catalog.View
 	// Members are the daemons that serve requests, ordered by name.
 	Members []Member
-	// Registered are these and those in reserve, ordered by name.
+	// Named are those of them that callers are told of.
+	Named []Member
+	// Registered are the members and those in reserve, ordered by name.
 	Registered []Member
 	// Standby is set while this daemon is not one of them.
 	Standby bool
--- a/io/registry/standby.go
+++ b/io/registry/standby.go
@@ -145,6 +145,9 @@
 	return slices.DeleteFunc(slices.Clone(members), func(m Member) bool { return !chosen[m.Name] })
 }
 
+// namedOf returns the active members that callers are told of.
+func namedOf(active []Member) []Member { return chosenOf(active, subset.Named(candidatesOf(active))) }
+
 func candidatesOf(members []Member) []subset.Member {
 	list := make([]subset.Member, 0, len(members))
 	for _, m := range members {
@@ -276,7 +279,7 @@
 	now := r.options.Now()
 	members := chosenOf(r.registered, subset.Choose(candidatesOf(r.registered)))
 	r.state.Store(&State{
-		View: catalog.NewView(nil, nil, nil), Members: members, Registered: r.registered,
+		View: catalog.NewView(nil, nil, nil), Members: members, Named: namedOf(members), Registered: r.registered,
 		Standby:     true,
 		DaemonCount: r.peakDaemons(now, len(members)), At: now,
 	})
--- a/io/registry/state.go
+++ b/io/registry/state.go
@@ -46,7 +46,7 @@
 	}
 	registered, members := r.activeMembers(now)
 	before := r.state.Swap(&State{
-		View: view, Members: members, Registered: registered, Standby: r.standby,
+		View: view, Members: members, Named: namedOf(members), Registered: registered, Standby: r.standby,
 		DaemonCount: r.peakDaemons(now, len(members)), Revision: r.watchRevision, At: now,
 	})
 	if before == nil || !slices.Equal(before.Registered, registered) {
