--- a/io/registry/standby.go
+++ b/io/registry/standby.go
@@ -176,8 +176,8 @@
 
 // iterateStandby runs one iteration of the control loop on standby and returns the delay before the next.
 func (r *Registry) iterateStandby(ctx context.Context) clock.Milli {
-	if r.loaded {
-		r.retire()
+	if s := r.state.Load(); s != nil && s.Revision != 0 {
+		r.retire(s)
 	}
 	r.takeHeardViews()
 	if !r.standby {
@@ -199,8 +199,7 @@
 
 // retire ends the watching of the store. A standby daemon does not keep routes and upstreams up to date, so it discards
 // them.
-func (r *Registry) retire() {
-	s := r.state.Load()
+func (r *Registry) retire(s *State) {
 	r.loaded = false
 	clear(r.entries)
 	r.machine.Resume(r.options.Now(), standby.View{Members: candidatesOf(s.Registered), Revision: s.Revision})
--- a/io/relay/follower.go
+++ b/io/relay/follower.go
@@ -15,8 +15,12 @@
 	"jacinthferry/io/registry"
 )
 
-// followInterval is the time between two looks for a daemon to follow. Each wait is between half of it and all of it.
-const followInterval = 600 * time.Millisecond
+// followInterval is the time between two looks for a daemon to follow; each failure doubles it, up to
+// maxFollowInterval. Each wait is between half of it and all of it.
+const (
+	followInterval    = 600 * time.Millisecond
+	maxFollowInterval = 4 * followInterval
+)
 
 // errOldView is the reason for leaving a daemon that has lost the store.
 var errOldView = errors.New("relay: the view of the daemon that is followed is too old")
@@ -32,15 +36,21 @@
 	// Hear is called with each view, and HearNothing when a daemon cannot be followed any longer.
 	Hear        func(registry.MemberView)
 	HearNothing func()
+
+	// left is the address of the daemon that was followed last.
+	left string
 }
 
 // Run follows one daemon after the other until ctx is done.
 func (f *Follower) Run(ctx context.Context) {
+	interval := followInterval
 	for attempt := 0; ctx.Err() == nil; attempt++ {
-		if f.Wanted() {
-			f.followOne(ctx, attempt)
+		if f.Wanted() && !f.followOne(ctx, attempt) {
+			interval = min(2*interval, maxFollowInterval)
+		} else {
+			interval = followInterval
 		}
-		timer := time.NewTimer(followInterval/2 + rand.N(followInterval/2))
+		timer := time.NewTimer(interval/2 + rand.N(interval/2))
 		select {
 		case <-ctx.Done():
 		case <-timer.C:
@@ -49,19 +59,25 @@
 	}
 }
 
-// followOne follows one daemon until that fails or this daemon is no longer on standby.
-func (f *Follower) followOne(ctx context.Context, attempt int) {
+// followOne follows one daemon until that fails or this daemon is no longer on standby. It reports whether it heard a
+// view.
+func (f *Follower) followOne(ctx context.Context, attempt int) bool {
 	address := f.choose(attempt)
 	if address == "" {
-		return
+		return false
 	}
-	if err := f.follow(ctx, address); err != nil && ctx.Err() == nil {
+	f.left = address
+	heard, err := f.follow(ctx, address)
+	if err != nil && ctx.Err() == nil {
 		klog.InfoS("members connection ended", "address", address, "err", err)
 		f.HearNothing()
 	}
+
+	return heard
 }
 
 // choose returns the address to try at an attempt: a random one, at every other attempt one of those to be preferred.
+// It is not the one that was left last, unless there is no other.
 func (f *Follower) choose(attempt int) string {
 	addresses, preferred := f.Addresses()
 	if attempt%2 == 0 && preferred > 0 {
@@ -70,16 +86,20 @@
 	if len(addresses) == 0 {
 		return ""
 	}
+	first := rand.N(len(addresses))
+	if addresses[first] == f.left {
+		first = (first + 1) % len(addresses)
+	}
 
-	return addresses[rand.N(len(addresses))]
+	return addresses[first]
 }
 
 // follow hears the views of a daemon until the connection ends, that daemon's view gets too old, or this daemon is no
-// longer on standby.
-func (f *Follower) follow(ctx context.Context, address string) error {
+// longer on standby. It reports whether it heard one.
+func (f *Follower) follow(ctx context.Context, address string) (heard bool, err error) {
 	conn, err := f.dial(ctx, address)
 	if err != nil {
-		return err
+		return false, err
 	}
 	defer func() { _ = conn.CloseNow() }()
 	conn.SetReadLimit(maxMembersBytes)
@@ -87,18 +107,19 @@
 	for f.Wanted() {
 		m, err := readMembers(ctx, conn)
 		if err != nil {
-			return err
+			return heard, err
 		}
 		if view, err = m.view(view.Members); err != nil {
-			return err
+			return heard, err
 		}
 		if view.Age > standby.MaxAge {
-			return errOldView
+			return heard, errOldView
 		}
+		heard = true
 		f.Hear(view)
 	}
 
-	return nil
+	return heard, nil
 }
 
 func (f *Follower) dial(ctx context.Context, address string) (*websocket.Conn, error) {
