--- a/io/registry/registry.go
+++ b/io/registry/registry.go
@@ -26,9 +26,11 @@
 	minWatchTimeout = 10 * clock.Millisecond
 	// watchInterval is the delay between two watches, so that changes are applied in batches.
 	watchInterval = 400 * clock.Millisecond
-	// minBackoff and maxBackoff bound the delay after a failed call; it doubles with each failure.
-	minBackoff = 100 * clock.Millisecond
-	maxBackoff = 800 * clock.Millisecond
+	// minBackoff and maxBackoff bound the delay after a failed call; it doubles with each failure. The bound is
+	// maxStartBackoff for a daemon that cannot serve callers before it has read the store.
+	minBackoff      = 100 * clock.Millisecond
+	maxBackoff      = 800 * clock.Millisecond
+	maxStartBackoff = 250 * clock.Millisecond
 	// expiryGrace is how long after a store failure or recovery the entries of daemons and upstreams that
 	// disappear are retained: the failure may only have kept their owners from renewing their leases.
 	expiryGrace = 2500 * clock.Millisecond
@@ -333,11 +335,7 @@
 // again, the next iteration reloads all entries.
 func (r *Registry) handleFailure(err error) {
 	now := r.options.Now()
-	limit := maxBackoff
-	if r.Following() {
-		limit = maxStandbyBackoff
-	}
-	r.backoff = min(limit, max(minBackoff, 2*r.backoff))
+	r.backoff = min(r.backoffLimit(), max(minBackoff, 2*r.backoff))
 	r.graceUntil = now + expiryGrace
 	word := reason.Store
 	if refusal, ok := err.(*reason.Refusal); ok { //nolint:errorlint // The store returns it unwrapped.
@@ -358,6 +356,18 @@
 	}
 }
 
+// backoffLimit returns the longest delay after a failed call.
+func (r *Registry) backoffLimit() clock.Milli {
+	switch {
+	case r.Following():
+		return maxStandbyBackoff
+	case r.State() == nil && !r.standby:
+		return maxStartBackoff
+	default:
+		return maxBackoff
+	}
+}
+
 // jitteredBackoff returns the delay after a failed call.
 func (r *Registry) jitteredBackoff() clock.Milli {
 	return r.backoff * clock.Milli(0.5+rand.Float64()/2)
--- a/io/registry/registry_test.go
+++ b/io/registry/registry_test.go
@@ -315,6 +315,29 @@
 		Expect(usable(r, "s")).To(Equal(1))
 	})
 
+	// Guards against the incident inc-d109 of houtem-zoek-grown: callers were refused up to 0.9 s longer than the store
+	// was away.
+	It("asks a store that fails often until it can serve, and less often after that", func() {
+		longest := func(r *harness) clock.Milli {
+			wait := clock.Milli(0)
+			for range 30 {
+				wait = max(wait, r.Iterate(context.Background()))
+				r.now += wait
+			}
+
+			return wait
+		}
+		r := newHarness(self)
+		r.storeErr = errUnavailable
+		Expect(longest(r)).To(BeNumerically("<=", 250))
+		r.storeErr = nil
+		r.put("c", "config")
+		r.advance(0)
+		Expect(r.View()).NotTo(BeNil())
+		r.storeErr = errUnavailable
+		Expect(longest(r)).To(BeNumerically("~", 600, 200))
+	})
+
 	It("counts daemons that may still be sending, and assumes a minimum after its start", func() {
 		r := newHarness(self)
 		r.member("self", "a", 0.4)
