--- a/soak/main.go
+++ b/soak/main.go
@@ -40,6 +40,7 @@
 			&cli.StringFlag{Name: "cases", Usage: "`FILE` of additional seeds; each line begins with a seed"},
 			&cli.IntFlag{Name: "jobs", Value: 1, Usage: "number of seeds that run at the same time"},
 			&cli.IntFlag{Name: "daemons", Value: 4, Usage: "number of daemons of each seed"},
+			&cli.IntFlag{Name: "small", Value: 0, Usage: "number of further daemons, too small to be needed"},
 			&cli.IntFlag{Name: "clients", Value: 16, Usage: "number of callers of each seed"},
 			&cli.FloatFlag{Name: "rate", Value: 90, Usage: "total requests per second of the callers of a seed"},
 			&cli.StringSliceFlag{Name: "only", Usage: "`KINDS` of steps; chosen by the seed if empty"},
@@ -146,7 +147,8 @@
 	plan := testbed.NewPlan(seed, span, kinds)
 	h, err := testbed.Run(ctx, testbed.Options{
 		Binary: c.String("program"), Directory: dir, Seed: seed, StepPeriod: span, Daemons: c.Int("daemons"),
-		Callers: c.Int("clients"), Rate: c.Float("rate"),
+		SmallDaemons: c.Int("small"),
+		Callers:      c.Int("clients"), Rate: c.Float("rate"),
 	}, plan)
 	if err != nil {
 		return fmt.Sprintf("seed %d: %v\n", seed, err), false
--- a/soak/testbed/testbed.go
+++ b/soak/testbed/testbed.go
@@ -27,6 +27,8 @@
 	// StepPeriod is the period in which steps begin.
 	StepPeriod clock.Milli
 	Daemons    int
+	// SmallDaemons is the number of further daemons, which stand by while there are two others in their zone.
+	SmallDaemons int
 	// Callers is the number of callers, and Rate their total number of requests per second.
 	Callers int
 	Rate    float64
@@ -41,6 +43,8 @@
 	// trailingDuration is how long callers continue after the recovery bound has passed.
 	trailingDuration = 2 * clock.Second
 	zoneCount        = 3
+	// smallShare is the part of a core that a small daemon may use.
+	smallShare = 0.1
 )
 
 // Testbed is the state of one run. It is safe for concurrent use.
@@ -121,11 +125,14 @@
 	if err := tb.operator.writeConfig(ctx); err != nil {
 		return err
 	}
-	for n := range tb.options.Daemons {
+	for n := range tb.options.Daemons + tb.options.SmallDaemons {
 		d, err := newDaemon(ctx, tb, n)
 		if err != nil {
 			return err
 		}
+		if n >= tb.options.Daemons {
+			d.settings.CPUShare = smallShare
+		}
 		tb.daemons = append(tb.daemons, d)
 		if err := d.start(); err != nil {
 			return err
