Name a daemon in reserve to callers only once it takes requests

Change: an entry says whether its daemon is in reserve. Such a daemon still counts when the active ones are chosen, but neither callers nor relayed legs are sent to it before it has registered as active.

--- a/io/registry/lease.go
+++ b/io/registry/lease.go
@@ -89,7 +89,9 @@
 	if err != nil {
 		return
 	}
-	value, err := l.options.Self.value()
+	self := l.options.Self
+	self.Reserve = l.factor == reserveFactor
+	value, err := self.value()
 	if err != nil {
 		return
 	}
--- a/io/registry/record.go
+++ b/io/registry/record.go
@@ -64,6 +64,8 @@
 	Cores float64
 	// Since is the store's revision at which it registered, or 0 if that is not known.
 	Since int64
+	// Reserve is set while it takes no requests.
+	Reserve bool
 }
 
 // memberPrefix is the key prefix of registered daemons. The daemon's name follows.
@@ -74,6 +76,8 @@
 	Zone  string  `json:"zone"`
 	Relay string  `json:"relay,omitempty"`
 	Cores float64 `json:"cores"`
+	// Reserve is set while the daemon takes no requests.
+	Reserve bool `json:"reserve,omitempty"`
 }
 
 // candidate returns what the choice of the active daemons depends on.
@@ -84,7 +88,9 @@
 func (m Member) key() string { return memberPrefix + m.Name }
 
 func (m Member) value() (string, error) {
-	text, err := json.Marshal(memberRecord{Front: m.Front, Zone: m.Zone, Relay: m.Relay, Cores: m.Cores})
+	text, err := json.Marshal(memberRecord{
+		Front: m.Front, Zone: m.Zone, Relay: m.Relay, Cores: m.Cores, Reserve: m.Reserve,
+	})
 
 	return string(text), err //nolint:wrapcheck // Two strings are always encoded.
 }
@@ -110,6 +116,6 @@
 	}
 
 	return Record{Kind: Daemon, Member: Member{
-		Name: name, Front: m.Front, Zone: m.Zone, Relay: m.Relay, Cores: m.Cores, Since: e.Created,
+		Name: name, Front: m.Front, Zone: m.Zone, Relay: m.Relay, Cores: m.Cores, Since: e.Created, Reserve: m.Reserve,
 	}}, nil
 }
--- a/io/registry/standby.go
+++ b/io/registry/standby.go
@@ -109,9 +109,9 @@
 // maxHeardViews is how many views of other daemons wait for the control loop.
 const maxHeardViews = 4
 
-// activeMembers returns the registered daemons and those of them that serve requests, both ordered by name, and updates
-// this daemon's role.
-func (r *Registry) activeMembers(now clock.Milli) (registered, active []Member) {
+// chooseMembers returns the registered daemons and those of them that are to serve requests, both ordered by name, and
+// updates this daemon's role.
+func (r *Registry) chooseMembers(now clock.Milli) (registered, chosen []Member) {
 	listed := false
 	for _, s := range r.entries {
 		if s.record.Kind == Daemon {
@@ -129,15 +129,15 @@
 	}
 	slices.SortFunc(registered, func(a, b Member) int { return strings.Compare(a.Name, b.Name) })
 	candidates := candidatesOf(registered)
-	chosen := subset.Choose(candidates)
-	r.updateRole(now, chosen[r.options.Self.Name], len(chosen) > 0)
+	names := subset.Choose(candidates)
+	r.updateRole(now, names[r.options.Self.Name], len(names) > 0)
 	if r.standby {
 		r.setRole(subset.RoleOf(candidates, r.options.Self.candidate()))
 	} else {
 		r.setRole(subset.Active)
 	}
 
-	return registered, chosenOf(registered, chosen)
+	return registered, chosenOf(registered, names)
 }
 
 // chosenOf returns the members whose names are chosen.
@@ -145,8 +145,17 @@
 	return slices.DeleteFunc(slices.Clone(members), func(m Member) bool { return !chosen[m.Name] })
 }
 
-// namedOf returns the active members that callers are told of.
-func namedOf(active []Member) []Member { return chosenOf(active, subset.Named(candidatesOf(active))) }
+// servingOf returns the chosen members that take requests. Those in reserve are chosen before they do.
+func (r *Registry) servingOf(chosen []Member) []Member {
+	return slices.DeleteFunc(slices.Clone(chosen), func(m Member) bool {
+		return m.Reserve && (r.standby || m.Name != r.options.Self.Name)
+	})
+}
+
+// namedOf returns the members that take requests and that callers are told of.
+func namedOf(serving []Member) []Member {
+	return chosenOf(serving, subset.Named(candidatesOf(serving)))
+}
 
 func candidatesOf(members []Member) []subset.Member {
 	list := make([]subset.Member, 0, len(members))
@@ -276,10 +285,11 @@
 
 func (r *Registry) publishStandby() {
 	now := r.options.Now()
-	members := chosenOf(r.registered, subset.Choose(candidatesOf(r.registered)))
+	chosen := chosenOf(r.registered, subset.Choose(candidatesOf(r.registered)))
+	members := r.servingOf(chosen)
 	r.state.Store(&State{
 		View: catalog.NewView(nil, nil, nil), Members: members, Named: namedOf(members), Registered: r.registered,
 		Standby:     true,
-		DaemonCount: r.peakDaemons(now, len(members)), At: now,
+		DaemonCount: r.peakDaemons(now, len(chosen)), At: now,
 	})
 }
--- a/io/registry/standby_test.go
+++ b/io/registry/standby_test.go
@@ -54,6 +54,22 @@
 }
 
 var _ = Describe("A registry on standby", func() {
+	It("names a daemon in reserve only once that takes requests", func() {
+		r := newStandby()
+		view := servedView(r.revision + 1)
+		view.Members = view.Members[1:]
+		view.Members[1].Reserve = true
+		r.Hear(view)
+		r.Iterate(context.Background())
+		Expect(r.memberNames()).To(Equal([]string{"large2"}), "large3 is chosen, but may not know that yet")
+		view.Members = slices.Clone(view.Members)
+		view.Members[1].Reserve = false
+		view.Revision++
+		r.Hear(view)
+		r.Iterate(context.Background())
+		Expect(r.memberNames()).To(Equal([]string{"large2", "large3"}))
+	})
+
 	It("makes no call to the store while it hears an active daemon", func() {
 		r := newStandby()
 		for range 60 {
@@ -177,8 +193,8 @@
 
 					return store.Lease{ID: "1", Live: true, TTL: span}, nil
 				},
-				Put: func(context.Context, string, string, int64, string) (store.WriteResult, error) {
-					calls <- "put"
+				Put: func(_ context.Context, _, value string, _ int64, _ string) (store.WriteResult, error) {
+					calls <- "put " + value
 
 					return store.WriteResult{Applied: true}, nil
 				},
@@ -200,10 +216,10 @@
 		}
 		change(subset.Reserve)
 		Eventually(calls).Should(Receive(Equal(fmt.Sprint("grant ", 6*clock.Second))))
-		Eventually(calls).Should(Receive(Equal("put")))
+		Eventually(calls).Should(Receive(And(HavePrefix("put"), ContainSubstring(`"reserve":true`))))
 		change(subset.Active)
 		Eventually(calls).Should(Receive(Equal(fmt.Sprint("grant ", 2*clock.Second))))
-		Eventually(calls).Should(Receive(Equal("put")))
+		Eventually(calls).Should(Receive(And(HavePrefix("put"), Not(ContainSubstring("reserve")))))
 		Eventually(calls, 2*time.Second).Should(Receive(Equal("renew")))
 		change(subset.Idle)
 		time.Sleep(200 * time.Millisecond)
--- a/io/registry/state.go
+++ b/io/registry/state.go
@@ -44,10 +44,11 @@
 		view = view.WithRollouts(moves)
 		r.recordAssignments(view, moves)
 	}
-	registered, members := r.activeMembers(now)
+	registered, chosen := r.chooseMembers(now)
+	members := r.servingOf(chosen)
 	before := r.state.Swap(&State{
 		View: view, Members: members, Named: namedOf(members), Registered: registered, Standby: r.standby,
-		DaemonCount: r.peakDaemons(now, len(members)), Revision: r.watchRevision, At: now,
+		DaemonCount: r.peakDaemons(now, len(chosen)), Revision: r.watchRevision, At: now,
 	})
 	if before == nil || !slices.Equal(before.Registered, registered) {
 		r.announceMembers()
--- a/io/relay/members.go
+++ b/io/relay/members.go
@@ -45,6 +45,8 @@
 	Relay string
 	Cores float64
 	Since int64
+	// Reserve is set while the daemon takes no requests.
+	Reserve bool
 }
 
 // MembersServer is an http.Handler that tells daemons on standby which daemons are registered. Its fields must not
@@ -100,7 +102,7 @@
 		for _, member := range view.Members {
 			m.Members = append(m.Members, memberEntry{
 				Name: member.Name, Front: member.Front, Zone: member.Zone, Relay: member.Relay, Cores: member.Cores,
-				Since: member.Since,
+				Since: member.Since, Reserve: member.Reserve,
 			})
 		}
 	}
@@ -125,6 +127,7 @@
 		for _, e := range m.Members {
 			v.Members = append(v.Members, registry.Member{
 				Name: e.Name, Front: e.Front, Zone: e.Zone, Relay: e.Relay, Cores: e.Cores, Since: e.Since,
+				Reserve: e.Reserve,
 			})
 		}
 	}
