--- a/io/registry/standby.go
+++ b/io/registry/standby.go
@@ -289,7 +289,6 @@
 	members := r.servingOf(chosen)
 	r.state.Store(&State{
 		View: catalog.NewView(nil, nil, nil), Members: members, Named: namedOf(members), Registered: r.registered,
-		Standby:     true,
-		DaemonCount: r.peakDaemons(now, len(chosen)), At: now,
+		Standby: true, DaemonCount: r.peakDaemons(now, len(chosen)), At: now,
 	})
 }
