Name the connection of a failed leg in the log, and record responses that are dropped

The log named no connection, so that a copy of a rejection could not be told from an outcome that the daemon does not know.

Change: the event of a leg that failed, or got no success, has the number of the request on its connection and the connection's local address. Responses to other requests that are dropped are an event of kind connection, reason mismatch, with its counter. No decision changes.

--- a/io/gateway/conn.go
+++ b/io/gateway/conn.go
@@ -2,11 +2,9 @@
 
 import (
 	"bufio"
-	"context"
-	"net"
+	"fmt"
 	"net/http"
 	"strconv"
-	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -17,17 +15,11 @@
 )
 
 const (
-	// dialTimeout limits how long opening a connection may take.
-	dialTimeout = 500 * clock.Millisecond
-	// ackTimeout is how long sent bytes may stay unacknowledged before the connection fails.
-	ackTimeout = 1500 * clock.Millisecond
 	// idleTimeout is the longest time that an idle connection is kept, and applies if the upstream gives
 	// no Keep-Alive timeout. idleMargin is how long before the upstream's timeout this side stops using
 	// the connection.
 	idleTimeout = 10 * clock.Second
 	idleMargin  = 500 * clock.Millisecond
-	// readBufferSize is the size of a connection's read buffer in bytes.
-	readBufferSize = 2 << 10
 	// readAttempts is how many responses are read in search of the one to the current request. Responses
 	// to other requests are dropped.
 	readAttempts = 3
@@ -45,6 +37,14 @@
 	reader *bufio.Reader
 	// expires is when an idle connection may no longer be reused.
 	expires clock.Milli
+	// requests is how many requests were sent on the connection, and dropped how many responses to other requests
+	// came instead of the one to the latest.
+	requests, dropped int
+}
+
+// String names the connection and its latest request in events.
+func (c *conn) String() string {
+	return fmt.Sprintf("request %d on the connection from %s", c.requests, c.LocalAddr())
 }
 
 // exchange sends a request and reads the response, whose body may have limit bytes. Keep reports whether the
@@ -59,6 +59,8 @@
 	if err := c.SetDeadline(time.Now().Add((left + responseGrace).Duration())); err != nil {
 		return nil, false, false, errors.Wrap(err, "gateway: cannot set connection deadline")
 	}
+	c.requests++
+	c.dropped = 0
 	request := encodeRequest(call, codec.Encode(call, u, left))
 	if n, err := c.Write(request); err != nil {
 		return nil, false, n > 0, errors.Wrap(err, "gateway: cannot send request")
@@ -74,6 +76,7 @@
 			return reply, keep && c.reader.Buffered() == 0, true, nil
 		}
 		c.memory.Release(reply.held)
+		c.dropped++
 	}
 
 	return nil, false, true, errMismatch
@@ -168,83 +171,3 @@
 func (c *conn) usable(now clock.Milli) bool {
 	return now < c.expires && c.reader.Buffered() == 0 && socket.Reusable(c.Conn)
 }
-
-// pool holds idle connections to upstreams. It is safe for concurrent use.
-type pool struct {
-	dialer *net.Dialer
-	memory *responseMemory
-	mu     sync.Mutex
-	idle   map[catalog.Key][]*conn
-}
-
-func newPool(memory *responseMemory) *pool {
-	return &pool{
-		dialer: socket.NewDialer(dialTimeout, ackTimeout), memory: memory, idle: make(map[catalog.Key][]*conn),
-	}
-}
-
-// take removes and returns a usable idle connection to the upstream, or returns nil. It closes unusable
-// ones on the way.
-func (p *pool) take(now clock.Milli, key catalog.Key) *conn {
-	for {
-		c := p.pop(key)
-		if c == nil || c.usable(now) {
-			return c
-		}
-		_ = c.Close()
-	}
-}
-
-func (p *pool) pop(key catalog.Key) *conn {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	list := p.idle[key]
-	if len(list) == 0 {
-		return nil
-	}
-	c := list[len(list)-1]
-	p.idle[key] = list[:len(list)-1]
-
-	return c
-}
-
-// put returns a connection to the pool.
-func (p *pool) put(key catalog.Key, c *conn) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.idle[key] = append(p.idle[key], c)
-}
-
-// dial opens a connection to an upstream, outside the pool.
-func (p *pool) dial(ctx context.Context, now clock.Milli, u *catalog.Upstream) (*conn, error) {
-	raw, err := p.dialer.DialContext(ctx, "tcp", u.Address)
-	if err != nil {
-		return nil, errors.Wrap(err, "gateway: cannot connect")
-	}
-
-	metered := &meteredConn{Conn: raw, memory: p.memory}
-
-	return &conn{
-		meteredConn: metered, reader: bufio.NewReaderSize(metered, readBufferSize), expires: now + idleTimeout,
-	}, nil
-}
-
-// prune closes expired connections and those to upstreams that are no longer known.
-func (p *pool) prune(now clock.Milli, known func(catalog.Key) bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for key, list := range p.idle {
-		kept := list[:0]
-		for _, c := range list {
-			if now < c.expires && known(key) {
-				kept = append(kept, c)
-
-				continue
-			}
-			_ = c.Close()
-		}
-		if p.idle[key] = kept; len(kept) == 0 {
-			delete(p.idle, key)
-		}
-	}
-}
--- a/io/gateway/sender.go
+++ b/io/gateway/sender.go
@@ -55,19 +55,22 @@
 	sentAt := g.options.Now()
 	reply, keep, sent, err := c.exchange(g.options.Now, &g.options.Codec, s.call, u, deadline, s.bodyLimit())
 	s.detach(number)
-	if keep {
-		g.pool.put(u.Key(), c)
-	} else {
-		_ = c.Close()
-	}
+	s.recordDropped(u, c)
 	if err != nil {
-		return nil, s.handleError(u, sentAt, sent, err)
+		_ = c.Close()
+
+		return nil, s.handleError(u, c, sentAt, sent, err)
 	}
 
 	if s.top > 0 {
 		g.memory.reduce(reply, s.top)
 	}
-	result := s.handleResponse(u, reply)
+	result := s.handleResponse(u, c, reply)
+	if keep {
+		g.pool.put(u.Key(), c)
+	} else {
+		_ = c.Close()
+	}
 	if result.OK {
 		g.mu.Lock()
 		s.recordAnswered(u.Service)
@@ -159,9 +162,11 @@
 	return s.abandoned
 }
 
-// handleError returns the result of a leg that failed with err, where sent reports whether bytes of the request
+// handleError returns the result of a leg that failed with err on c, where sent reports whether bytes of the request
 // may have been sent. It records the failure and, if the upstream may have crashed, starts a check.
-func (s *sender) handleError(u *catalog.Upstream, sentAt clock.Milli, sent bool, err error) gather.Result {
+func (s *sender) handleError(
+	u *catalog.Upstream, c *conn, sentAt clock.Milli, sent bool, err error,
+) gather.Result {
 	run := reason.ExecutionUnknown
 	if !sent {
 		run = reason.NotExecuted
@@ -176,7 +181,7 @@
 	}
 	s.gateway.options.Record(event.Event{
 		Kind: event.Connection, Reason: word, Service: u.Service, Upstream: u.ID, Request: s.call.ID,
-		Detail: err.Error(),
+		Detail: fmt.Sprintf("%v, %v", err, c),
 	})
 	if sent && word == reason.Failed && !isTimeout(err) {
 		attempt := quarantine.Attempt{Sent: sentAt, Broken: s.gateway.options.Now()}
@@ -186,8 +191,19 @@
 	return gather.Result{Run: run, Reason: word, Sent: sent}
 }
 
-// handleResponse returns the result of a leg that got a response, and records one that is not good.
-func (s *sender) handleResponse(u *catalog.Upstream, reply *UpstreamResponse) gather.Result {
+// recordDropped records that responses to other requests came on the connection of a leg.
+func (s *sender) recordDropped(u *catalog.Upstream, c *conn) {
+	if c.dropped == 0 {
+		return
+	}
+	s.gateway.options.Record(event.Event{
+		Kind: event.Connection, Reason: reason.Mismatch, Service: u.Service, Upstream: u.ID, Request: s.call.ID,
+		Detail: fmt.Sprintf("dropped %d responses to other requests, %v", c.dropped, c),
+	})
+}
+
+// handleResponse returns the result of a leg that got a response on c, and records one that is not good.
+func (s *sender) handleResponse(u *catalog.Upstream, c *conn, reply *UpstreamResponse) gather.Result {
 	result := gather.Result{
 		Sent: true, Run: reason.Executed, Load: reply.Load, Limit: reply.Limit, Leaving: reply.Leaving, Pause: reply.Pause,
 		Reason: reason.Failed,
@@ -209,7 +225,7 @@
 	if !result.OK {
 		s.gateway.options.Record(event.Event{
 			Kind: event.Upstream, Reason: result.Reason, Service: u.Service, Upstream: u.ID, Request: s.call.ID,
-			Detail: fmt.Sprintf("status %d, run %s", reply.Status, result.Run),
+			Detail: fmt.Sprintf("status %d, run %s, %v", reply.Status, result.Run, c),
 		})
 	}
 
