Send a request at most once on a connection, so that a late copy is not taken for its answer

Cause: a rejected request went to the same upstream again on the connection that brought the rejection. The late second copy of the rejection has the right ID and was taken for the answer to the second send, while the upstream ran the request. The same held for a caller that sends an ID again, for copies of failures, and for legs that another daemon sends again. A copy without an ID was taken for the answer to any request.

Change: a connection remembers the requests that it has carried, up to 512, and is then closed; the pool does not hand it out for one of them again. If all idle ones have carried the request, one is closed and another opened in its place, so that the number of connections does not grow. A response without an ID on a connection whose responses have had one fails the leg with an unknown outcome. Why this works: whatever arrives on a connection that has not carried the request cannot have its ID.

Tests: "a response that arrives twice", 10 specs, all red before.

--- a/io/gateway/conn.go
+++ b/io/gateway/conn.go
@@ -3,7 +3,9 @@
 import (
 	"bufio"
 	"fmt"
+	"hash/maphash"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -20,6 +22,8 @@
 	// the connection.
 	idleTimeout = 10 * clock.Second
 	idleMargin  = 500 * clock.Millisecond
+	// maxRequests is how many requests a connection carries at most, which bounds what is kept of them.
+	maxRequests = 512
 	// readAttempts is how many responses are read in search of the one to the current request. Responses
 	// to other requests are dropped.
 	readAttempts = 3
@@ -28,6 +32,7 @@
 // Errors of an exchange on a connection.
 var (
 	errMismatch = errors.New("gateway: response is for another request")
+	errUnnamed  = errors.New("gateway: response names no request, unlike others of the upstream")
 	errEncoded  = errors.New("gateway: response body has a Content-Encoding, want none")
 )
 
@@ -37,14 +42,27 @@
 	reader *bufio.Reader
 	// expires is when an idle connection may no longer be reused.
 	expires clock.Milli
-	// requests is how many requests were sent on the connection, and dropped how many responses to other requests
-	// came instead of the one to the latest.
-	requests, dropped int
+	// carried are the requests that were sent on the connection.
+	carried []requestHash
+	// named is set once a response on the connection had the ID of its request.
+	named bool
+	// dropped is how many responses to other requests came instead of the one to the latest.
+	dropped int
 }
 
+// requestHash is the hash of a request's ID.
+type requestHash uint64
+
+var hashSeed = maphash.MakeSeed()
+
+func hashID(id string) requestHash { return requestHash(maphash.String(hashSeed, id)) }
+
+// hasCarried reports whether a request was sent on the connection.
+func (c *conn) hasCarried(hash requestHash) bool { return slices.Contains(c.carried, hash) }
+
 // String names the connection and its latest request in events.
 func (c *conn) String() string {
-	return fmt.Sprintf("request %d on the connection from %s", c.requests, c.LocalAddr())
+	return fmt.Sprintf("request %d on the connection from %s", len(c.carried), c.LocalAddr())
 }
 
 // exchange sends a request and reads the response, whose body may have limit bytes. Keep reports whether the
@@ -59,7 +77,7 @@
 	if err := c.SetDeadline(time.Now().Add((left + responseGrace).Duration())); err != nil {
 		return nil, false, false, errors.Wrap(err, "gateway: cannot set connection deadline")
 	}
-	c.requests++
+	c.carried = append(c.carried, hashID(call.ID))
 	c.dropped = 0
 	request := encodeRequest(call, codec.Encode(call, u, left))
 	if n, err := c.Write(request); err != nil {
@@ -70,12 +88,16 @@
 		if err != nil {
 			return nil, false, true, err
 		}
-		if reply.ID == "" || reply.ID == call.ID {
+		if reply.ID == call.ID || (reply.ID == "" && !c.named) {
+			c.named = reply.ID != ""
 			c.extendIdle(now(), reply.Header)
 
-			return reply, keep && c.reader.Buffered() == 0, true, nil
+			return reply, keep && c.reader.Buffered() == 0 && len(c.carried) < maxRequests, true, nil
 		}
 		c.memory.Release(reply.held)
+		if reply.ID == "" {
+			return nil, false, true, errUnnamed
+		}
 		c.dropped++
 	}
 
--- a/io/gateway/export_test.go
+++ b/io/gateway/export_test.go
@@ -29,9 +29,9 @@
 // Cancel aborts the leg.
 func (s Sender) Cancel() { s.inner.cancelAll() }
 
-// TakeIdle removes an idle connection to an upstream from the pool and returns it, or returns nil.
+// TakeIdle removes an idle connection to an upstream from the pool for another request and returns it, or returns nil.
 func (g *Gateway) TakeIdle(u *catalog.Upstream) net.Conn {
-	if c := g.pool.take(g.options.Now(), u.Key()); c != nil {
+	if c := g.pool.take(g.options.Now(), u.Key(), "another"); c != nil {
 		return c
 	}
 
--- a/io/gateway/pool.go
+++ b/io/gateway/pool.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"net"
+	"slices"
 	"sync"
 
 	"github.com/pkg/errors"
@@ -23,6 +24,9 @@
 )
 
 // pool holds idle connections to upstreams. It is safe for concurrent use.
+//
+// A connection carries each request once at most. An upstream may send a second copy of a response, late, where that to
+// a later request is due, and only the ID tells them apart.
 type pool struct {
 	dialer *net.Dialer
 	memory *responseMemory
@@ -36,27 +40,46 @@
 	}
 }
 
-// take removes and returns a usable idle connection to the upstream, or returns nil. It closes unusable
-// ones on the way.
-func (p *pool) take(now clock.Milli, key catalog.Key) *conn {
+// take removes and returns a usable idle connection to the upstream that has not carried the request with the given ID,
+// or returns nil. It closes unusable ones on the way. If all others have carried the request, it closes one of them, in
+// whose place a new one may be opened.
+func (p *pool) take(now clock.Milli, key catalog.Key, id string) *conn {
+	hash := hashID(id)
 	for {
-		c := p.pop(key)
-		if c == nil || c.usable(now) {
+		c := p.pop(key, hash)
+		switch {
+		case c == nil:
+			return nil
+		case c.hasCarried(hash):
+			_ = c.Close()
+
+			return nil
+		case c.usable(now):
 			return c
 		}
 		_ = c.Close()
 	}
 }
 
-func (p *pool) pop(key catalog.Key) *conn {
+// pop removes and returns the latest idle connection that has not carried a request or, if there is none, the latest of
+// all. It returns nil if none is idle.
+func (p *pool) pop(key catalog.Key, hash requestHash) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.idle[key]
 	if len(list) == 0 {
 		return nil
 	}
-	c := list[len(list)-1]
-	p.idle[key] = list[:len(list)-1]
+	chosen := len(list) - 1
+	for i := chosen; i >= 0; i-- {
+		if !list[i].hasCarried(hash) {
+			chosen = i
+
+			break
+		}
+	}
+	c := list[chosen]
+	p.idle[key] = slices.Delete(list, chosen, chosen+1)
 
 	return c
 }
--- a/io/gateway/sender.go
+++ b/io/gateway/sender.go
@@ -118,7 +118,7 @@
 func (s *sender) connect(number int, u *catalog.Upstream, deadline clock.Milli) (*conn, error) {
 	g := s.gateway
 	now := g.options.Now()
-	if c := g.pool.take(now, u.Key()); c != nil {
+	if c := g.pool.take(now, u.Key(), s.call.ID); c != nil {
 		return c, nil
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), (deadline - now).Duration())
