Pass a planned stop on to the requests in progress, so that those that wait are answered

Eight requests that waited for room when their daemon got SIGTERM ended with a closed connection 5.7 s later, though no upstream had them and their callers would have waited for 8 s more.

Cause: a request took the time of the planned stop when it arrived. One that came before the signal kept its own deadline.

Evidence: the daemon's log has `left` 0.6 ms after `stopping` and no event of these requests until it closes their connections; each had one leg, which was rejected.

Change: the gateway passes the stop on to all pending requests, and core/gather decides. A shard whose next leg may outlast the stop is given up, at the signal or when its leg is rejected or fails later; a request that waits and still fits goes on. What runs at the end is answered 502 in place of a closed connection. The rule for requests that arrive during the stop moves from io/gateway to core/gather. Why this works: every way to wait for a leg leads through Query.trySend, and the deadline of the answer includes the stop from the signal on.

--- a/core/gather/coordinator.go
+++ b/core/gather/coordinator.go
@@ -193,6 +193,8 @@
 	FirstSent clock.Milli
 	// Arrived is when this attempt arrived.
 	Arrived clock.Milli
+	// StopAt is when a planned stop of this daemon ends the request, or 0 while none is under way.
+	StopAt clock.Milli
 	// Quarantined reports whether the request is known by now to crash the upstreams that run it. It may be nil.
 	Quarantined func() bool
 	// View returns the latest view, from which the upstreams of each leg are taken. If it is nil, all legs use the one
--- a/core/gather/legs.go
+++ b/core/gather/legs.go
@@ -20,6 +20,11 @@
 
 		return
 	}
+	if !q.fitsBeforeStop(now) {
+		q.giveUpForStop(i)
+
+		return
+	}
 	if q.suspect() && !q.allowSuspect(now, i) {
 		return
 	}
@@ -171,7 +176,7 @@
 // legDeadline returns when an upstream should stop working on the request. It is not after the end of the
 // caller's wait, because the request would then hold a slot for nothing.
 func (q *Query) legDeadline() clock.Milli {
-	return min(q.request.Deadline, q.request.Arrived+q.route.Timeout)
+	return q.beforeStop(min(q.request.Deadline, q.request.Arrived+q.route.Timeout))
 }
 
 // hedge sends a second leg for each shard whose first leg is late.
--- a/core/gather/outcome.go
+++ b/core/gather/outcome.go
@@ -6,7 +6,10 @@
 )
 
 // answerDeadline returns when the caller gets its answer or refusal at the latest.
-func (q *Query) answerDeadline() clock.Milli {
+func (q *Query) answerDeadline() clock.Milli { return q.beforeStop(q.ownDeadline()) }
+
+// ownDeadline returns the same for a daemon that does not stop.
+func (q *Query) ownDeadline() clock.Milli {
 	return min(q.request.Deadline-q.coordinator.policy.DeadlineMargin, q.request.Arrived+q.route.Timeout)
 }
 
@@ -69,7 +72,7 @@
 	default:
 		outcome.Refusal = q.refusal(now)
 		outcome.Missing = q.servicesWithoutUpstream()
-		outcome.RetryAfter = q.retryAfter(now)
+		outcome.RetryAfter = q.retryAfter(now, outcome.Refusal.Reason)
 	}
 	q.emit(Action{Kind: Finish, Outcome: outcome})
 }
@@ -95,7 +98,10 @@
 		}
 	}
 	word := reason.Deadline
-	if now < q.answerDeadline() {
+	switch {
+	case q.endedByStop(now):
+		word = reason.Draining
+	case now < q.answerDeadline():
 		for i := range q.shards {
 			if s := &q.shards[i]; !s.covered && s.failReason != "" {
 				word = s.failReason
@@ -107,8 +113,12 @@
 }
 
 // retryAfter returns a random time, so that the retries of refused callers are spread over the time in which
-// an upstream may be back, and at least the time until rate limits leave room.
-func (q *Query) retryAfter(now clock.Milli) clock.Milli {
+// an upstream may be back, and at least the time until rate limits leave room. A caller that is refused because of a
+// planned stop may go to another daemon at once.
+func (q *Query) retryAfter(now clock.Milli, refused reason.Code) clock.Milli {
+	if q.request.StopAt != 0 && refused == reason.Draining {
+		return 0
+	}
 	left := max(0, q.request.Deadline-now)
 	wait := min(maxRetryAfter, left*retryFraction) * clock.Milli(0.5+q.coordinator.uniform()/2)
 
--- a/core/gather/query.go
+++ b/core/gather/query.go
@@ -92,7 +92,7 @@
 
 // begin sends the first legs, or refuses the request.
 func (q *Query) begin(now clock.Milli) {
-	if q.refuseUnavailable(now) {
+	if q.refuseStopping(now) || q.refuseUnavailable(now) {
 		return
 	}
 	estimates := q.estimateShards(now)
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -64,10 +64,10 @@
 	lease    *registry.Lease
 	gateway  *gateway.Gateway
 	idle     *socket.IdleCloser
-	// stopAt is when a planned stop ends the requests that are in progress, or nil while none is under way.
-	stopAt  atomic.Pointer[clock.Milli]
-	servers []*http.Server
-	cancel  context.CancelFunc
+	// stopping is set once a planned stop has begun.
+	stopping atomic.Bool
+	servers  []*http.Server
+	cancel   context.CancelFunc
 }
 
 // Start starts an entry daemon and returns once its listeners are open. Cancelling ctx stops its background
@@ -106,13 +106,6 @@
 		Codec:  platform.NewCodec(),
 		Record: e.journal.Record, Observe: e.observe, Zone: s.Zone,
 		Policy: policy(s), ResponseMemory: s.MemoryMB * responseMemoryPerMB,
-		StopAt: func() clock.Milli {
-			if at := e.stopAt.Load(); at != nil {
-				return *at
-			}
-
-			return 0
-		},
 		OnCrash: func(w quarantine.Warning) {
 			links.Warn(w)
 			e.registry.PublishCrash(w)
@@ -120,7 +113,7 @@
 	})
 	e.idle = socket.NewIdleCloser(now, func() clock.Milli { return e.gateway.Limits().IdleTimeout })
 	front := &platform.CallerHandler{
-		Now: now, Serve: e.gateway.Serve, Limits: e.gateway.Limits, ShuttingDown: e.stopping,
+		Now: now, Serve: e.gateway.Serve, Limits: e.gateway.Limits, ShuttingDown: e.stopping.Load,
 	}
 	if err := e.listen(ctx, front); err != nil {
 		e.Close()
@@ -210,15 +203,12 @@
 	return mux
 }
 
-// stopping reports whether a planned stop is under way.
-func (e *Entry) stopping() bool { return e.stopAt.Load() != nil }
-
 // Ready reports whether the daemon accepts requests: it has a configuration, is not on standby and is not
 // shutting down.
 func (e *Entry) Ready() bool {
 	view := e.registry.View()
 
-	return !e.stopping() && !e.registry.Standby() && view != nil && view.Config != nil
+	return !e.stopping.Load() && !e.registry.Standby() && view != nil && view.Config != nil
 }
 
 // relayAddresses returns the relay addresses of the daemons in an availability zone that send legs for others.
@@ -299,8 +289,8 @@
 func (e *Entry) Stop(ctx context.Context) {
 	started := time.Now()
 	s := e.settings.Load()
-	stopAt := e.now() + s.GracePeriod - exitMargin - answerMargin
-	e.stopAt.Store(&stopAt)
+	e.stopping.Store(true)
+	e.gateway.Stop(e.now() + s.GracePeriod - exitMargin - answerMargin)
 	e.lease.Release(ctx)
 	klog.InfoS("left", "name", s.Name)
 	time.Sleep(time.Until(started.Add((s.GracePeriod - drainMargin).Duration())))
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -37,9 +37,6 @@
 	// takes the group. Results are passed to deliver in order of arrival, exactly one for each leg.
 	// Cancel aborts the legs that are still open. Relay may be nil.
 	Relay func(call *Call, group *gather.ZoneGroup, deliver func(RelayResponse)) (cancel func(), ok bool)
-	// StopAt returns when a planned stop ends the requests that are in progress, or 0 while none is under way. It may be
-	// nil.
-	StopAt func() clock.Milli
 	// OnCrash is called with a warning for the other daemons when an upstream has crashed while it ran a request.
 	// It may be nil.
 	OnCrash func(quarantine.Warning)
@@ -57,7 +54,10 @@
 	memory  *responseMemory
 
 	// mu guards the state that requests share: the coordinator, the balancer, the queries and the crashes.
-	mu          sync.Mutex
+	mu sync.Mutex
+	// pending are the requests that have no answer yet, and stopAt is when a planned stop ends them, or 0.
+	pending     map[*pendingRequest]struct{}
+	stopAt      clock.Milli
 	balancer    *balance.Balancer
 	coordinator *gather.Coordinator
 	crashes     *quarantine.CrashDetector
@@ -82,7 +82,7 @@
 
 	return &Gateway{
 		options: options, pool: newPool(memory), memory: memory, balancer: balancer, crashes: quarantine.NewCrashDetector(),
-		probes:      make(map[catalog.Key]*crashProbe),
+		pending: make(map[*pendingRequest]struct{}), probes: make(map[catalog.Key]*crashProbe),
 		coordinator: gather.New(options.Policy, balancer, options.DaemonCount, rand.Float64),
 	}
 }
@@ -145,15 +145,11 @@
 	if call.Timeout <= 0 {
 		call.Timeout = route.Timeout
 	}
-	stopAt := g.stopAt()
-	if stopAt != 0 && !fitsBefore(stopAt, call, route) {
-		return g.refuseStopping(call, route)
-	}
 	s := newSender(g, call, route.Top)
 	if g.quarantined(call, s.fingerprint, route) {
 		return g.refuseQuarantined(s, route)
 	}
-	p := &pendingRequest{sender: s, route: route, config: view.Config, stopAt: stopAt, done: make(chan struct{})}
+	p := &pendingRequest{sender: s, route: route, config: view.Config, done: make(chan struct{})}
 	p.start(view)
 	select {
 	case <-p.done:
--- a/io/gateway/pending.go
+++ b/io/gateway/pending.go
@@ -17,8 +17,6 @@
 	*sender
 	route  *catalog.Route
 	config *catalog.Config
-	// stopAt is when a planned stop ends the request, or 0.
-	stopAt clock.Milli
 	query  *gather.Query
 	timer  *time.Timer
 	// timerAt is when the timer fires next.
@@ -39,17 +37,14 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.options.Now()
-	deadline := p.call.Arrived + p.call.Timeout
-	if p.stopAt != 0 {
-		deadline = min(deadline, p.stopAt)
-	}
 	// A caller that retries has less time left than the route allows.
 	spent := min(max(0, p.route.Timeout-p.call.Timeout), p.route.Objective)
 	query, actions := g.coordinator.Begin(now, view, p.route, gather.Request{
 		ID: p.call.ID, Arrived: p.call.Arrived, FirstSent: p.call.Arrived - spent - p.call.NetworkDelay,
-		Deadline: deadline, Quarantined: p.inQuarantine, View: g.options.View,
+		Deadline: p.call.Arrived + p.call.Timeout, StopAt: g.stopAt, Quarantined: p.inQuarantine, View: g.options.View,
 	})
 	p.query = query
+	g.pending[p] = struct{}{}
 	p.perform(now, actions)
 }
 
@@ -157,6 +152,7 @@
 // finish sets the answer from the outcome of the query, records the outcome, and closes done.
 func (p *pendingRequest) finish(now clock.Milli, outcome *gather.Outcome) {
 	defer close(p.done)
+	delete(p.gateway.pending, p)
 	p.gateway.options.Observe(p.route.Name, now-p.call.Arrived, outcome.Refusal == nil)
 	if outcome.Refusal != nil {
 		p.answer = Response{Refusal: outcome.Refusal, RetryAfter: outcome.RetryAfter}
@@ -253,6 +249,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	p.abandoned = true
+	delete(g.pending, p)
 	for _, cancel := range p.cancels {
 		cancel()
 	}
