Leave the store beside the planned stop, and cut off the call that the lease waits for

What callers would see: with a store that does not respond a stop spent up to 4 s of its grace period on leaving, and requests in progress at its end were cut off.

Cause: Release waited for the lock that Run holds during a call of up to 1 s, three of them in a row when it registers, and the stop waited for Release.

Change: Release ends the calls of Run, and revokes also the lease of a registration under way, whose entry may have been written. The stop goes on meanwhile.

--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -291,15 +291,20 @@
 	s := e.settings.Load()
 	e.stopping.Store(true)
 	e.gateway.Stop(e.now() + s.GracePeriod - exitMargin - answerMargin)
-	e.lease.Release(ctx)
-	klog.InfoS("left", "name", s.Name)
-	time.Sleep(time.Until(started.Add((s.GracePeriod - drainMargin).Duration())))
 	ctx, cancel := context.WithDeadline(ctx, started.Add((s.GracePeriod - exitMargin).Duration()))
 	defer cancel()
+	left := make(chan struct{})
+	go func() {
+		defer close(left)
+		e.lease.Release(ctx)
+		klog.InfoS("left", "name", s.Name)
+	}()
+	time.Sleep(time.Until(started.Add((s.GracePeriod - drainMargin).Duration())))
 	// The first server is the one that callers use.
 	if err := e.servers[0].Shutdown(ctx); err != nil {
 		klog.InfoS("graceful shutdown failed; aborting unfinished requests", "name", s.Name, "err", err)
 	}
+	<-left
 	e.Close()
 }
 
--- a/io/registry/lease.go
+++ b/io/registry/lease.go
@@ -26,24 +26,38 @@
 	options Options
 	role    func() subset.Role
 	// changes receives a value after the role has changed.
-	changes  <-chan struct{}
-	mu       sync.Mutex
-	id       string
-	factor   clock.Milli
-	released bool
+	changes <-chan struct{}
+	// released is closed by Release.
+	released    chan struct{}
+	releaseOnce sync.Once
+
+	mu sync.Mutex
+	// id is the granted lease, or empty, and registered is set once the entry has been written under it.
+	id         string
+	registered bool
+	factor     clock.Milli
 }
 
 // NewLease returns a lease that has not been granted yet. It follows the daemon's role, whose changes it is told of. An
 // active daemon gets a short time to live, so that its loss is detected quickly.
 func NewLease(options Options, role func() subset.Role, changes <-chan struct{}) *Lease {
-	return &Lease{options: options, role: role, changes: changes, factor: 1}
+	return &Lease{options: options, role: role, changes: changes, released: make(chan struct{}), factor: 1}
 }
 
-// Run registers the daemon and renews its lease until ctx is done.
+// Run registers the daemon and renews its lease until ctx is done or the lease is released.
 func (l *Lease) Run(ctx context.Context) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go func() {
+		select {
+		case <-l.released:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
 	for ctx.Err() == nil {
 		l.mu.Lock()
-		if !l.released {
+		if !l.isReleased() {
 			l.keep(ctx)
 		}
 		interval := renewInterval * l.factor
@@ -52,6 +66,15 @@
 	}
 }
 
+func (l *Lease) isReleased() bool {
+	select {
+	case <-l.released:
+		return true
+	default:
+		return false
+	}
+}
+
 // keep registers the daemon if its role asks for that, and lets the lease expire if not.
 func (l *Lease) keep(ctx context.Context) {
 	switch l.role() {
@@ -63,32 +86,37 @@
 		l.renew(ctx)
 	default:
 		l.setFactor(reserveFactor)
-		l.id = ""
+		l.forget()
 	}
 }
 
+// forget leaves the lease to expire.
+func (l *Lease) forget() { l.id, l.registered = "", false }
+
 // setFactor sets what multiplies the time to live. The entry moves to another lease when it changes; the old lease is
 // left to expire.
 func (l *Lease) setFactor(factor clock.Milli) {
 	if factor != l.factor {
-		l.factor, l.id = factor, ""
+		l.factor = factor
+		l.forget()
 	}
 }
 
 // renew renews the lease, or registers the daemon under a new one when there is none or it has expired.
 func (l *Lease) renew(ctx context.Context) {
-	if l.id != "" {
+	if l.registered {
 		lease, err := l.options.Store.Renew(ctx, l.id)
 		if err != nil || lease.Live {
 			return
 		}
 		l.options.Record(event.Event{Kind: event.Member, Reason: reason.Lapsed, Detail: "own lease expired: " + l.id})
-		l.id = ""
+		l.forget()
 	}
 	lease, err := l.options.Store.Grant(ctx, leaseTTL*l.factor)
 	if err != nil {
 		return
 	}
+	l.id = lease.ID
 	self := l.options.Self
 	self.Reserve = l.factor == reserveFactor
 	value, err := self.value()
@@ -102,14 +130,15 @@
 
 		return
 	}
-	l.id = lease.ID
+	l.registered = true
 }
 
-// Release revokes the lease, which removes the daemon's entry, and stops Run from registering it again.
+// Release revokes the lease, which removes the daemon's entry, and ends Run with the call that it waits for. The entry of
+// a registration that was under way may have been written, so that its lease is revoked too.
 func (l *Lease) Release(ctx context.Context) {
+	l.releaseOnce.Do(func() { close(l.released) })
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.released = true
 	if l.id == "" {
 		return
 	}
--- a/io/registry/standby_test.go
+++ b/io/registry/standby_test.go
@@ -228,4 +228,47 @@
 		}
 		Consistently(calls, 2*time.Second).ShouldNot(Receive())
 	})
+
+	// Guards against a stop that waits for the calls of a store that does not respond.
+	for _, hanging := range []string{"grant", "put", "renew"} {
+		It("is released without waiting for a "+hanging+" that gets no response", func() {
+			calls := make(chan string, 100)
+			call := func(ctx context.Context, name string) error {
+				calls <- name
+				if name != hanging {
+					return nil
+				}
+				<-ctx.Done()
+
+				return ctx.Err()
+			}
+			options := registry.Options{Self: smallSelf, Record: func(event.Event) {}, Store: store.Store{
+				Grant: func(ctx context.Context, span clock.Milli) (store.Lease, error) {
+					return store.Lease{ID: "1", Live: true, TTL: span}, call(ctx, "grant")
+				},
+				Put: func(ctx context.Context, _, _ string, _ int64, _ string) (store.WriteResult, error) {
+					return store.WriteResult{Applied: true}, call(ctx, "put")
+				},
+				Renew: func(ctx context.Context, id string) (store.Lease, error) {
+					return store.Lease{ID: id, Live: true}, call(ctx, "renew")
+				},
+				Revoke: func(ctx context.Context, id string) error { return call(ctx, "revoke "+id) },
+			}}
+			lease := registry.NewLease(options, func() subset.Role { return subset.Active }, nil)
+			ctx, cancel := context.WithCancel(context.Background())
+			DeferCleanup(cancel)
+			go lease.Run(ctx)
+			Eventually(calls, 2*time.Second).Should(Receive(Equal(hanging)))
+			released := make(chan struct{})
+			go func() {
+				defer close(released)
+				lease.Release(context.Background())
+			}()
+			Eventually(released, 500*time.Millisecond).Should(BeClosed())
+			if hanging != "grant" {
+				Expect(calls).To(Receive(Equal("revoke 1")), "the entry may have been written")
+			}
+			Consistently(calls, 800*time.Millisecond).ShouldNot(Receive(), "the daemon does not register again")
+		})
+	}
 })
