Let a second SIGTERM not cut a planned stop short

What callers would see: a second SIGTERM ended an entry daemon, or one of serve, at once, with all requests in progress.

Cause: the default action of both signals was restored when a stop began, so that a second interrupt ends the process.

Change: only SIGINT gets its default action back.

--- a/cmd/jacinthferry/entry.go
+++ b/cmd/jacinthferry/entry.go
@@ -27,7 +27,7 @@
 		Usage: "run an entry daemon on the platform",
 		Description: `Reads the settings, described in docs/configuration.md, and serves the routes configured in the
 platform's store until SIGINT or SIGTERM. It then deregisters from the directory, continues to serve for
-the grace period and exits. Logs go to standard output.
+the grace period and exits; a SIGINT during that time ends it at once. Logs go to standard output.
 
 Examples:
   jacinthferry entry -f entry.json
@@ -71,6 +71,9 @@
 	return &signals{stop: stop, hangup: hangup, release: release}
 }
 
+// endOnInterrupt lets a SIGINT from now on end the process at once. Another SIGTERM does not cut a planned stop short.
+func endOnInterrupt() { signal.Reset(syscall.SIGINT) }
+
 func runEntry(ctx context.Context, sigs *signals, path string, s settings.Entry) error {
 	defer logJSONToStdout()()
 	debug.SetGCPercent(s.GCPercent)
@@ -84,8 +87,7 @@
 	go reload(watching, sigs.hangup, path, e)
 	klog.InfoS("serving", "name", s.Name, "zone", s.Zone, "front", s.RequestAddress, "store", s.StoreAddress)
 	<-sigs.stop.Done()
-	// After this a second signal ends the process.
-	sigs.release()
+	endOnInterrupt()
 	klog.InfoS("stopping", "name", s.Name, "grace", s.GracePeriod)
 	e.Stop(context.WithoutCancel(ctx))
 	klog.InfoS("stopped", "name", s.Name)
--- a/cmd/jacinthferry/serve.go
+++ b/cmd/jacinthferry/serve.go
@@ -24,8 +24,8 @@
 		Name:  "serve",
 		Usage: "run a daemon",
 		Description: `Reads the settings, described in docs/configuration.md, and serves until SIGINT or SIGTERM. It then
-deregisters from the entry lists, finishes the running requests and exits; a second signal ends it
-immediately.
+deregisters from the entry lists, finishes the running requests and exits; a SIGINT during that time ends
+it at once.
 
 Examples:
   jacinthferry serve -f settings.json
@@ -58,8 +58,7 @@
 		"serving", "name", s.Name, "caller", d.CallerAddress(), "operator", d.OperatorAddress(), "peer", d.PeerAddress(),
 	)
 	<-signalled.Done()
-	// After this a second signal ends the process.
-	release()
+	endOnInterrupt()
 	klog.InfoS("stopping", "name", s.Name)
 	stopping, cancel := context.WithTimeout(context.WithoutCancel(ctx), s.Control.EntriesTTL.Duration()+stopTimeout)
 	defer cancel()
