Fail a leg whose response has a status that no final response has

What callers saw: an answer with status 600 or 999 was passed on, signature and all; with 000, 099, 101, or an interim response with a body, they waited for a final response until their deadline if the connection stayed open.

Cause: all statuses below 200 were skipped as interim responses, and all above were answers.

Change: io/gateway takes 200 to 599 for final, 100 to 199 but 101 for interim unless the header announces a body, and nothing else for a response. The leg fails at once, its run is unknown, the connection is closed. Calls of serve, of the caller's client and of operators take an error from such a response whatever its header says (rpc.CheckStatus): a header that says not run was believed.

--- a/client/entries.go
+++ b/client/entries.go
@@ -11,6 +11,7 @@
 	"jacinthferry/core/clock"
 	"jacinthferry/core/reason"
 	"jacinthferry/io/caller"
+	"jacinthferry/io/rpc"
 )
 
 // entry is a daemon to which the client can send requests, with its connections and health state.
@@ -274,7 +275,7 @@
 }
 
 func (c *Client) newEntry(l caller.Entry) *entry {
-	h := &http.Client{Transport: c.newTransport()}
+	h := &http.Client{Transport: rpc.CheckStatus(c.newTransport())}
 
 	return &entry{Entry: l, httpClient: h, client: caller.NewClient(l.Address, h, c.now)}
 }
--- a/core/gather/stop.go
+++ b/core/gather/stop.go
@@ -8,8 +8,8 @@
 // stopDetail explains a refusal because of a planned stop.
 const stopDetail = "may outlast the planned stop of this daemon"
 
-// Stop is called when a planned stop of the daemon begins, which ends the request at an instant. Shards that wait for an
-// upstream are given up if their request may outlast the stop.
+// Stop is called when a planned stop of the daemon begins, which ends the request at an instant. Shards that wait for
+// an upstream are given up if their request may outlast the stop.
 func (q *Query) Stop(now, at clock.Milli) []Action {
 	q.coordinator.actions = q.coordinator.actions[:0]
 	if q.done {
--- a/io/gateway/conn.go
+++ b/io/gateway/conn.go
@@ -137,49 +137,6 @@
 	return append(b, call.Body...)
 }
 
-// readResponse reads one final response with its body and reports whether the connection stays open.
-func (c *conn) readResponse(codec *Codec, method string, limit int) (*UpstreamResponse, bool, error) {
-	// Releases what the header holds unless a reply takes it over.
-	defer c.release()
-	response, err := c.readHead(method)
-	if err != nil {
-		return nil, false, errors.Wrap(err, "gateway: no answer")
-	}
-	defer func() { _ = response.Body.Close() }()
-	if response.Header.Get("Content-Encoding") != "" {
-		return nil, false, errEncoded
-	}
-	c.beginBody(limit)
-	body, held, err := c.memory.read(response.Body, response.ContentLength, limit)
-	if err != nil {
-		return nil, false, err
-	}
-	reply := codec.Decode(response.StatusCode, response.Header)
-	reply.Status, reply.Header, reply.Body = response.StatusCode, response.Header, body
-	reply.held, c.held = held+c.held, 0
-
-	return &reply, !response.Close, nil
-}
-
-// readHead reads the status and header of one final response, skipping 1xx responses. The header holds memory until
-// the caller calls release.
-func (c *conn) readHead(method string) (*http.Response, error) {
-	c.beginHead()
-	request := &http.Request{Method: method}
-	for range interimLimit + 1 {
-		response, err := http.ReadResponse(c.reader, request)
-		if err != nil && c.err != nil {
-			// The parser may have taken the cut for a malformed line.
-			return nil, c.err
-		}
-		if err != nil || response.StatusCode >= http.StatusOK {
-			return response, err //nolint:wrapcheck // The caller wraps it.
-		}
-	}
-
-	return nil, errTooLarge
-}
-
 // extendIdle sets when the connection expires, which depends on the Keep-Alive header of the response.
 func (c *conn) extendIdle(now clock.Milli, header http.Header) {
 	span := idleTimeout
--- a/io/registry/lease.go
+++ b/io/registry/lease.go
@@ -133,8 +133,8 @@
 	l.registered = true
 }
 
-// Release revokes the lease, which removes the daemon's entry, and ends Run with the call that it waits for. The entry of
-// a registration that was under way may have been written, so that its lease is revoked too.
+// Release revokes the lease, which removes the daemon's entry, and ends Run with the call that it waits for. The entry
+// of a registration that was under way may have been written, so that its lease is revoked too.
 func (l *Lease) Release(ctx context.Context) {
 	l.releaseOnce.Do(func() { close(l.released) })
 	l.mu.Lock()
--- a/io/rpc/http.go
+++ b/io/rpc/http.go
@@ -102,13 +102,10 @@
 		MaxResponseHeaderBytes: MaxHeaderBytes,
 	}
 
-	c := &http.Client{
-		Transport:     transport,
+	return &http.Client{
+		Transport:     CheckStatus(WithSecret(creds, transport)),
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
-	c.Transport = WithSecret(creds, transport)
-
-	return c
 }
 
 func dialer(creds *secure.Credentials) func(ctx context.Context, network, address string) (net.Conn, error) {
--- a/io/upstream/endless_test.go
+++ b/io/upstream/endless_test.go
@@ -20,7 +20,8 @@
 	. "github.com/onsi/gomega"
 )
 
-// endlessUpstream listens on loopback and answers each request with start, and then part until the caller closes.
+// endlessUpstream listens on loopback and answers each request with start, and then part until the caller closes. It
+// closes the connection itself if part is empty.
 func endlessUpstream(start, part string) (address string) {
 	listener, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", "127.0.0.1:0")
 	Expect(err).NotTo(HaveOccurred())
@@ -37,7 +38,7 @@
 				if err == nil {
 					_, err = io.WriteString(c, start)
 				}
-				for err == nil {
+				for err == nil && part != "" {
 					_, err = io.WriteString(c, part)
 				}
 			}()
