Let upstreams of serve name the call that they respond to, so that a late copy is not taken for another response

What callers would see: a submit to serve runs twice, or ran and is reported as not run, when an upstream sends a second copy of a refusal where the next response on the connection is due.

Change: each call has a number in the header Call, which the upstream's handler sends back with every response. A response that names another call, or none on a connection whose responses have named theirs, fails the call with an unknown outcome and retires the connection. Upstreams that do not send it back are served as before.

--- a/io/upstream/conn.go
+++ b/io/upstream/conn.go
@@ -37,7 +37,9 @@
 	// refuseWrite makes the next write fail.
 	refuseWrite atomic.Bool
 	wrote       atomic.Bool
-	removeOnce  sync.Once
+	// named is set once a response on the connection has named the call that it belongs to.
+	named      atomic.Bool
+	removeOnce sync.Once
 
 	mu                 sync.Mutex
 	processIncarnation string
--- a/io/upstream/handler.go
+++ b/io/upstream/handler.go
@@ -36,7 +36,7 @@
 			return connect.NewResponse(&cancelResponse{Found: running.cancel(*c.Msg)}), nil
 		}, rpc.HandlerOptions()))
 
-	return mux
+	return nameCalls(mux)
 }
 
 func legHandler(u Operations, running *runningLegs, procedure string, submit bool) http.Handler {
--- a/io/upstream/pool.go
+++ b/io/upstream/pool.go
@@ -72,7 +72,9 @@
 
 // newClient returns a client that uses the transport within the memory for responses.
 func (o *Options) newClient(address string, transport *http.Transport) *Client {
-	tripper := rpc.CheckStatus(rpc.WithSecret(o.Credentials, transport))
+	var tripper http.RoundTripper = &callTransport{
+		transport: rpc.CheckStatus(rpc.WithSecret(o.Credentials, transport)),
+	}
 	if o.ResponseMemory != nil {
 		tripper = rpc.LimitResponses(tripper, o.ResponseMemory)
 	}
