--- a/io/upstream/calls.go
+++ b/io/upstream/calls.go
@@ -11,9 +11,9 @@
 	"jacinthferry/core/reason"
 )
 
-// callHeader is the header in which a daemon names a call, and the upstream the call that it responds to. An upstream may
-// send a second copy of a response, late, where that to a later call is due; the request's ID cannot tell these apart if
-// both calls are of one request.
+// callHeader is the header in which a daemon names a call, and the upstream the call that it responds to. An upstream
+// may send a second copy of a response, late, where that to a later call is due; the request's ID cannot tell these
+// apart if both calls are of one request.
 const callHeader = "Call"
 
 var errAnotherCall = errors.New("upstream: the response belongs to another call")
