Accept bytes that are not UTF-8 on links between daemons; a dropped response shows that an upstream names requests

What callers would see: one caller's header, or one upstream's signature, with such bytes closed the link between two daemons, and the legs of all requests on it failed. The encoder writes them as they are; the decoder now takes them as they are. Spec: io/relay, "stays open and passes them on", red before.

--- a/io/gateway/conn.go
+++ b/io/gateway/conn.go
@@ -44,7 +44,7 @@
 	expires clock.Milli
 	// carried are the requests that were sent on the connection.
 	carried []requestHash
-	// named is set once a response on the connection had the ID of its request.
+	// named is set once a response on the connection had the ID of a request.
 	named bool
 	// dropped is how many responses to other requests came instead of the one to the latest.
 	dropped int
@@ -88,8 +88,9 @@
 		if err != nil {
 			return nil, false, true, err
 		}
-		if reply.ID == call.ID || (reply.ID == "" && !c.named) {
-			c.named = reply.ID != ""
+		wasNamed := c.named
+		c.named = c.named || reply.ID != ""
+		if reply.ID == call.ID || (reply.ID == "" && !wasNamed) {
 			c.extendIdle(now(), reply.Header)
 
 			return reply, keep && c.reader.Buffered() == 0 && len(c.carried) < maxRequests, true, nil
--- a/io/relay/relay_test.go
+++ b/io/relay/relay_test.go
@@ -290,3 +290,38 @@
 		}
 	}, SpecTimeout(timeout))
 })
+
+// Guards against bytes that are not UTF-8, in a caller's header or an upstream's signature, which closed the connection
+// and failed the legs of all requests on it.
+var _ = Describe("A relay connection that carries bytes that are not UTF-8", func() {
+	It("stays open and passes them on", func() {
+		const odd = "\xff\xfe\x80"
+		remote := newRemoteDaemon()
+		client := newClient(remote.address())
+		responses := make(chan gateway.RelayResponse, 4)
+		deliver := func(r gateway.RelayResponse) { responses <- r }
+		sendWhenConnected(client, newGroup(clock.Second), deliver)
+		first := <-remote.calls
+		oddCall := *call
+		oddCall.Header = http.Header{"X-Own": {odd}}
+		_, ok := client.Send(&oddCall, newGroup(clock.Second), deliver)
+		Expect(ok).To(BeTrue())
+		var second *relayedCall
+		Eventually(remote.calls).WithTimeout(timeout).Should(Receive(&second))
+		Expect(second.call.Header).To(Equal(oddCall.Header))
+		second.send(gateway.RelayResponse{Results: []gateway.RelayResult{
+			{Number: 3, Result: gather.Result{OK: true, Sent: true, Run: reason.Executed}, Stamp: odd},
+		}})
+		var response gateway.RelayResponse
+		Eventually(responses).WithTimeout(timeout).Should(Receive(&response))
+		Expect(response.Results[0].Result.OK).To(BeTrue())
+		Expect(response.Results[0].Stamp).To(Equal(odd))
+		first.send(gateway.RelayResponse{Results: []gateway.RelayResult{
+			{Number: 3, Result: gather.Result{OK: true, Sent: true, Run: reason.Executed}},
+		}})
+		Eventually(responses).WithTimeout(timeout).Should(Receive(&response))
+		Expect(response.Results[0].Result.OK).To(BeTrue(), "the other request's legs are not failed")
+		close(first.done)
+		close(second.done)
+	})
+})
--- a/io/relay/wire.go
+++ b/io/relay/wire.go
@@ -209,6 +209,18 @@
 	return out
 }
 
+// decoding accepts texts that are not UTF-8, since callers and upstreams may send any bytes in a header.
+var decoding = newDecoding()
+
+func newDecoding() cbor.DecMode {
+	mode, err := cbor.DecOptions{UTF8: cbor.UTF8DecodeInvalid}.DecMode()
+	if err != nil {
+		panic(err) // The options are constant.
+	}
+
+	return mode
+}
+
 func encode(m message) ([]byte, error) {
 	data, err := cbor.Marshal(m)
 
@@ -217,7 +229,7 @@
 
 func decode(data []byte) (message, error) {
 	var m message
-	if err := cbor.Unmarshal(data, &m); err != nil {
+	if err := decoding.Unmarshal(data, &m); err != nil {
 		return m, errors.Wrap(ErrInvalidMessage, err.Error())
 	}
 	if m.Request == nil && m.Response == nil && m.Cancel == 0 && len(m.Warnings) == 0 {
