Send no leg for which the time is too short

What callers saw: a request that may run once only and was rejected each time was now and then answered 504 at its deadline instead of 503, and could not be sent again.

Cause: a leg that was sent within the last milliseconds was still in flight when the answer was due, so that the request counted as run. Evidence: of 160 runs of the spec, sixteen at a time, 3 failed with status 504; the log of two has the refusal "run unknown, after 995 ms of 1000, 2 legs" and then the rejection of the second leg.

Change: a leg must have 10 ms left; else its shard is given up at once, also when a request arrives with less.

--- a/core/gather/legs.go
+++ b/core/gather/legs.go
@@ -1,6 +1,7 @@
 package gather
 
 import (
+	"cmp"
 	"slices"
 
 	"jacinthferry/core/catalog"
@@ -15,7 +16,13 @@
 	if s.covered || s.dropped || s.inFlight > 0 {
 		return
 	}
-	if now >= q.answerDeadline() || q.exhausted(i) || len(q.usable(s.service.Name)) == 0 {
+	if q.exhausted(i) || len(q.usable(s.service.Name)) == 0 {
+		q.drop(i)
+
+		return
+	}
+	if now+minLegTime > q.answerDeadline() {
+		s.failReason = cmp.Or(s.failReason, reason.Deadline)
 		q.drop(i)
 
 		return
--- a/core/gather/query.go
+++ b/core/gather/query.go
@@ -17,6 +17,9 @@
 	// overdueFactor bounds the wait for the last shards of a request that arrives too late for its
 	// objective, as a multiple of the objective, once the answer covers enough shards.
 	overdueFactor = 1.5
+	// minLegTime is the least time that a leg must have left. One that is still in flight when the answer is due makes a
+	// request count as run that may not have.
+	minLegTime = 10 * clock.Millisecond
 	// legsPerAttempt is how many legs of a shard may fail for each upstream that the route allows.
 	legsPerAttempt = 2
 )
--- a/core/gather/query_test.go
+++ b/core/gather/query_test.go
@@ -190,6 +190,30 @@
 		Expect(end[0].Outcome.RetryAfter).To(BeNumerically("<=", 800.0/3))
 	})
 
+	// Guards against a leg that is still on its way when the time of its request is over: the caller is then told that the
+	// request may have run, and cannot send it again.
+	It("sends no leg for which the time is too short", func() {
+		route := lookup
+		route.Idempotent, route.MinCoverage = false, 1
+		rejection := gather.Result{Sent: true, Run: reason.NotExecuted, Reason: reason.Overload}
+		d := newDaemon(1, 1, route)
+		q, _ := d.begin(start)
+		q.HandleResult(start+1, 0, rejection)
+		actions := q.HandleTimeout(start + route.Timeout - policy.DeadlineMargin - 1)
+		Expect(ofKind(actions, gather.Send)).To(BeEmpty())
+		end := ofKind(actions, gather.Finish)
+		Expect(end).To(HaveLen(1))
+		Expect(end[0].Outcome.Refusal.Run).To(Equal(reason.NotExecuted))
+		Expect(end[0].Outcome.Refusal.Reason).To(Equal(reason.Overload))
+
+		_, actions = d.Begin(start, d.view, d.route, gather.Request{
+			ID: "r", Arrived: start, FirstSent: start, Deadline: start + policy.DeadlineMargin + 1,
+		})
+		Expect(ofKind(actions, gather.Send)).To(BeEmpty())
+		Expect(ofKind(actions, gather.Finish)[0].Outcome.Refusal).To(And(
+			HaveField("Run", reason.NotExecuted), HaveField("Reason", reason.Deadline)))
+	})
+
 	It("retries after a failure, on no more upstreams than the route allows", func() {
 		d := newDaemon(1, 3, lookup)
 		q, sends := d.begin(start)
