--- a/io/gateway/conn.go
+++ b/io/gateway/conn.go
@@ -88,16 +88,15 @@
 		if err != nil {
 			return nil, false, true, err
 		}
-		wasNamed := c.named
-		c.named = c.named || reply.ID != ""
-		if reply.ID == call.ID || (reply.ID == "" && !wasNamed) {
+		matches, err := c.matches(reply, call.ID)
+		if matches {
 			c.extendIdle(now(), reply.Header)
 
 			return reply, keep && c.reader.Buffered() == 0 && len(c.carried) < maxRequests, true, nil
 		}
 		c.memory.Release(reply.held)
-		if reply.ID == "" {
-			return nil, false, true, errUnnamed
+		if err != nil {
+			return nil, false, true, err
 		}
 		c.dropped++
 	}
@@ -105,6 +104,23 @@
 	return nil, false, true, errMismatch
 }
 
+// matches reports whether a response is that to the request with the given ID. One without an ID is, unless responses
+// on the connection have had one: it is then an error, as it may be that to any request.
+func (c *conn) matches(reply *UpstreamResponse, id string) (bool, error) {
+	named := c.named
+	c.named = named || reply.ID != ""
+	switch {
+	case reply.ID == id:
+		return true, nil
+	case reply.ID != "":
+		return false, nil
+	case named:
+		return false, errUnnamed
+	}
+
+	return true, nil
+}
+
 // responseGrace is how long after its deadline an upstream may still report that it gave up.
 const responseGrace = 250 * clock.Millisecond
 
--- a/io/gateway/copies_test.go
+++ b/io/gateway/copies_test.go
@@ -117,8 +117,12 @@
 // Guards against a second copy of a response that is taken for the response to a later send of the same request: the
 // request of review/6 ran twice, or ran and was answered as not run.
 var _ = Describe("a response that arrives twice", func() {
+	// brief is the time of a request that is rejected.
+	const brief = 100 * clock.Millisecond
 	now := timer.NewClock()
-	newGateway := func(u *copyingUpstream, route catalog.Route) *gateway.Gateway {
+	retries := gather.Policy{RetryRatio: 1, RetrySlack: 1000, DeadlineMargin: 5}
+	noRetries := gather.Policy{DeadlineMargin: 5}
+	newGateway := func(u *copyingUpstream, route catalog.Route, policy gather.Policy) *gateway.Gateway {
 		u.start()
 		route.Host, route.Prefix, route.Service, route.Attempts = "h", "/", "s", 2
 		route.Objective, route.Timeout = clock.Second, 5*clock.Second
@@ -128,7 +132,7 @@
 		return gateway.New(gateway.Options{
 			Now: now, View: func() *catalog.View { return view }, DaemonCount: func() int { return 1 }, StoreContact: now,
 			Observe: func(string, clock.Milli, bool) {}, Record: func(event.Event) {}, Codec: labelledCodec,
-			Policy: gather.Policy{RetryRatio: 1, RetrySlack: 1000, DeadlineMargin: 5}, ResponseMemory: 1 << 20,
+			Policy: policy, ResponseMemory: 1 << 20,
 		})
 	}
 	send := func(g *gateway.Gateway, id string, wait clock.Milli) gateway.Response {
@@ -155,7 +159,7 @@
 	} {
 		It("does not reject the next send of a request "+c.name, func() {
 			u := &copyingUpstream{status: http.StatusServiceUnavailable, headers: rejected, failures: 1}
-			g := newGateway(u, c.route)
+			g := newGateway(u, c.route, retries)
 			expectRunOnce(u, send(g, "r", 3*clock.Second), "r")
 		})
 	}
@@ -173,9 +177,8 @@
 	} {
 		It("is not taken for the answer when the caller sends the ID again after "+c.name, func() {
 			u := &copyingUpstream{status: c.status, headers: c.headers, failures: 1}
-			g := newGateway(u, catalog.Route{Name: "unsafe"})
-			// Shorter than the time after which the daemon sends the request again itself.
-			send(g, "r", 15*clock.Millisecond)
+			g := newGateway(u, catalog.Route{Name: "unsafe"}, noRetries)
+			send(g, "r", brief)
 			expectRunOnce(u, send(g, "r", 3*clock.Second), "r")
 		})
 	}
@@ -183,8 +186,8 @@
 	It("is not taken for the answer after other requests on the connection", func() {
 		const others = 40
 		u := &copyingUpstream{status: http.StatusServiceUnavailable, headers: rejected, failures: 1, late: others}
-		g := newGateway(u, catalog.Route{Name: "unsafe"})
-		send(g, "r", 15*clock.Millisecond)
+		g := newGateway(u, catalog.Route{Name: "unsafe"}, noRetries)
+		send(g, "r", brief)
 		for i := range others {
 			id := fmt.Sprint("other", i)
 			expectRunOnce(u, send(g, id, 3*clock.Second), id)
@@ -194,8 +197,8 @@
 
 	It("is not taken for a rejection of another request if it has no ID", func() {
 		u := &copyingUpstream{status: http.StatusServiceUnavailable, headers: rejected, failures: 1, unnamed: true}
-		g := newGateway(u, catalog.Route{Name: "unsafe"})
-		send(g, "first", 15*clock.Millisecond)
+		g := newGateway(u, catalog.Route{Name: "unsafe"}, noRetries)
+		send(g, "first", brief)
 		response := send(g, "r", 500*clock.Millisecond)
 		Expect(u.ran("r")).To(Equal(1))
 		if response.Refusal != nil {
@@ -205,7 +208,7 @@
 
 	It("does not reject a leg that another daemon sends again", func() {
 		u := &copyingUpstream{status: http.StatusServiceUnavailable, headers: rejected, failures: 1}
-		g := newGateway(u, catalog.Route{Name: "safe", Idempotent: true})
+		g := newGateway(u, catalog.Route{Name: "safe", Idempotent: true}, noRetries)
 		call := &gateway.Call{ID: "r", Method: http.MethodGet, Host: "h", Target: "/x", Path: "/x", Arrived: now()}
 		results := make([]gateway.RelayResult, 0, 2)
 		for number := range 2 {
