--- a/io/upstream/calls.go
+++ b/io/upstream/calls.go
@@ -38,15 +38,20 @@
 		return nil, err //nolint:wrapcheck // A transport returns the error as it is.
 	}
 	named := response.Header.Get(callHeader)
-	if used == nil || named == id || (named == "" && !used.named.Load()) {
-		if used != nil && named != "" {
+	switch {
+	case named == id:
+		if used != nil {
 			used.named.Store(true)
 		}
 
+		return response, nil
+	case named == "" && (used == nil || !used.named.Load()):
 		return response, nil
 	}
 	_ = response.Body.Close()
-	used.retire(reason.Mismatch)
+	if used != nil {
+		used.retire(reason.Mismatch)
+	}
 
 	return nil, errAnotherCall
 }
