Do not replace the logger of an entry daemon at its end, while goroutines may still log

What could be seen: a line lost, or written elsewhere, while the process ends.

Cause: the daemon's background work ends with the process, while the logger went back to standard error before. The trace names klog.SetSlogLogger in logJSONToStdout and the registry's event of a failed call. Change: the logger stays; what is logged after the last lines are written is dropped, as before.

--- a/cmd/jacinthferry/log.go
+++ b/cmd/jacinthferry/log.go
@@ -22,14 +22,11 @@
 const logFlushTimeout = 100 * time.Millisecond
 
 // logJSONToStdout makes klog write one JSON object per line to standard output. Lines that do not fit
-// the queue are dropped. The returned function redirects klog to standard error and writes the queued
-// lines.
+// the queue are dropped. The returned function writes the queued lines. Later ones are dropped: klog's logger must not
+// be replaced while goroutines of the daemon may still log.
 func logJSONToStdout() func() {
 	w := journal.NewAsyncWriter(os.Stdout, maxQueuedLines)
 	klog.SetSlogLogger(slog.New(slog.NewJSONHandler(w, nil)))
 
-	return func() {
-		logJSONToStderr()
-		w.Close(logFlushTimeout)
-	}
+	return func() { w.Close(logFlushTimeout) }
 }
