--- a/cmd/jacinthferry/signal_test.go
+++ b/cmd/jacinthferry/signal_test.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"encoding/json"
-	"net"
 	"net/http/httptest"
 	"os"
 	"path/filepath"
@@ -31,14 +30,6 @@
 	os.Exit(m.Run())
 }
 
-func freeAddress() string {
-	l, err := net.Listen("tcp", "127.0.0.1:0") //nolint:noctx // A spec.
-	Expect(err).NotTo(HaveOccurred())
-	defer func() { _ = l.Close() }()
-
-	return l.Addr().String()
-}
-
 // startProgram starts a command of the program with a settings file and waits until it serves.
 func startProgram(name string, s any) *os.Process {
 	dir := GinkgoT().TempDir()
@@ -71,6 +62,8 @@
 		grace = 3 * clock.Second
 		// soon is the time within which a process ends that does not stop as planned.
 		soon = 500 * time.Millisecond
+		// loopback is an address whose port the operating system chooses.
+		loopback = "127.0.0.1:0"
 	)
 	var store string
 	BeforeEach(func() {
@@ -81,14 +74,14 @@
 	entrySettings := func() any {
 		s := settings.DefaultEntry()
 		s.Name, s.Zone, s.GracePeriod, s.StoreAddress = "one", "zone-a", grace, store
-		s.RequestAddress, s.ReadinessAddress, s.DirectoryAddress = freeAddress(), freeAddress(), freeAddress()
+		s.RequestAddress, s.ReadinessAddress, s.DirectoryAddress = loopback, loopback, loopback
 
 		return s
 	}
 	serveSettings := func() any {
 		s := settings.Default()
 		s.Name, s.Zone = "one", "zone-a"
-		s.Caller.Address, s.Operator.Address, s.Peer.Address = "127.0.0.1:0", "127.0.0.1:0", "127.0.0.1:0"
+		s.Caller.Address, s.Operator.Address, s.Peer.Address = loopback, loopback, loopback
 		s.Platform.Address, s.Control.EntriesTTL = store, grace
 
 		return s
