--- a/io/gateway/copies_test.go
+++ b/io/gateway/copies_test.go
@@ -124,7 +124,10 @@
 	noRetries := gather.Policy{DeadlineMargin: 5}
 	newGateway := func(u *copyingUpstream, route catalog.Route, policy gather.Policy) *gateway.Gateway {
 		u.start()
-		route.Host, route.Prefix, route.Service, route.Attempts = "h", "/", "s", 2
+		route.Host, route.Prefix, route.Attempts = "h", "/", 2
+		if !route.Gathers() {
+			route.Service = "s"
+		}
 		route.Objective, route.Timeout = clock.Second, 5*clock.Second
 		config := catalog.NewConfig(1, 1, []catalog.Route{route}, []catalog.Service{{Name: "s"}}, catalog.Limits{})
 		view := catalog.NewView(config, []*catalog.Upstream{u.Upstream}, nil)
@@ -206,6 +209,16 @@
 		}
 	})
 
+	It("does not reject the next leg of a gathering request", func() {
+		u := &copyingUpstream{status: http.StatusServiceUnavailable, headers: rejected, failures: 1}
+		route := catalog.Route{Name: "all", Idempotent: true, Shards: []string{"s"}, Top: 1, MinCoverage: 1}
+		response := send(newGateway(u, route, retries), "r", 3*clock.Second)
+		Expect(response.Refusal).To(BeNil())
+		Expect(response.Stamps).To(Equal([]string{"s"}))
+		Expect(string(response.Body)).To(HaveSuffix("r"))
+		Expect(u.ran("r")).To(Equal(1))
+	})
+
 	It("does not reject a leg that another daemon sends again", func() {
 		u := &copyingUpstream{status: http.StatusServiceUnavailable, headers: rejected, failures: 1}
 		g := newGateway(u, catalog.Route{Name: "safe", Idempotent: true}, noRetries)
--- a/io/gateway/status_test.go
+++ b/io/gateway/status_test.go
@@ -65,11 +65,8 @@
 	codec := gateway.Codec{Encode: plainCodec.Encode, Decode: func(_ int, h http.Header) gateway.UpstreamResponse {
 		return gateway.UpstreamResponse{Stamp: h.Get("X-Stamp"), NotRun: h.Get("Not-Run") != ""}
 	}}
-	newGateway := func(idempotent bool, upstreams ...*catalog.Upstream) *gateway.Gateway {
-		route := catalog.Route{
-			Name: "one", Host: "h", Prefix: "/", Service: "s", Idempotent: idempotent, Attempts: 2, Objective: clock.Second,
-			Timeout: timeout,
-		}
+	newGatewayFor := func(route catalog.Route, upstreams ...*catalog.Upstream) *gateway.Gateway {
+		route.Host, route.Prefix, route.Attempts, route.Objective, route.Timeout = "h", "/", 2, clock.Second, timeout
 		config := catalog.NewConfig(1, 1, []catalog.Route{route}, []catalog.Service{{Name: "s"}}, catalog.Limits{})
 		view := catalog.NewView(config, upstreams, nil)
 
@@ -79,6 +76,9 @@
 			Policy: gather.Policy{RetryRatio: 1, RetrySlack: 1000, DeadlineMargin: 5}, ResponseMemory: 1 << 20,
 		})
 	}
+	newGateway := func(idempotent bool, upstreams ...*catalog.Upstream) *gateway.Gateway {
+		return newGatewayFor(catalog.Route{Name: "one", Service: "s", Idempotent: idempotent}, upstreams...)
+	}
 	newCall := func() *gateway.Call {
 		return &gateway.Call{ID: "r", Method: http.MethodGet, Host: "h", Target: "/x", Path: "/x", Header: http.Header{}, Arrived: now()}
 	}
@@ -127,6 +127,17 @@
 				Expect(time.Since(began)).To(BeNumerically("<", soon))
 			})
 
+			It("is no part of a gathered answer: "+c.name+end, func() {
+				began := time.Now()
+				good := startReplying("good", "HTTP/1.1 200 OK\r\n"+signedBody, true)
+				good.Zone = "another"
+				route := catalog.Route{Name: "all", Idempotent: true, Shards: []string{"s"}, Top: 1, MinCoverage: 1}
+				response := serve(newGatewayFor(route, startReplying("u", c.text, open), good))
+				Expect(response.Refusal).To(BeNil())
+				Expect(response.Stamps).To(Equal([]string{"s"}))
+				Expect(time.Since(began)).To(BeNumerically("<", soon))
+			})
+
 			It("is no answer to a leg of another daemon: "+c.name+end, func() {
 				began := time.Now()
 				u := startReplying("u", c.text, open)
