--- a/io/gateway/copies_test.go
+++ b/io/gateway/copies_test.go
@@ -16,6 +16,7 @@
 	"jacinthferry/core/reason"
 	"jacinthferry/io/gateway"
 	"jacinthferry/io/timer"
+	"jacinthferry/standin/suite"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -51,24 +52,11 @@
 }
 
 func (u *copyingUpstream) start() {
-	listener, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", "127.0.0.1:0")
-	Expect(err).NotTo(HaveOccurred())
-	DeferCleanup(listener.Close)
-	u.Upstream = &catalog.Upstream{ID: "u", Service: "s", Address: listener.Addr().String(), Slots: 2}
 	u.runs = make(map[string]int)
-	go func() {
-		for {
-			c, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go u.serve(c)
-		}
-	}()
+	u.Upstream = &catalog.Upstream{ID: "u", Service: "s", Address: suite.ServeConns(u.serve), Slots: 2}
 }
 
 func (u *copyingUpstream) serve(c net.Conn) {
-	defer func() { _ = c.Close() }()
 	reader := bufio.NewReader(c)
 	// copies are what is sent before the later responses, by their number.
 	copies := make(map[int]string)
--- a/io/gateway/endless_test.go
+++ b/io/gateway/endless_test.go
@@ -69,27 +69,13 @@
 }
 
 func newEndlessServer(id, service string, kind *endless) *endlessServer {
-	listener, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", "127.0.0.1:0")
-	Expect(err).NotTo(HaveOccurred())
-	s := &endlessServer{kind: kind, upstream: &catalog.Upstream{
-		ID: id, Service: service, Address: listener.Addr().String(), Slots: 2,
-	}}
-	DeferCleanup(listener.Close)
-	go func() {
-		for {
-			c, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go s.serve(c)
-		}
-	}()
+	s := &endlessServer{kind: kind, upstream: &catalog.Upstream{ID: id, Service: service, Slots: 2}}
+	s.upstream.Address = suite.ServeConns(s.serve)
 
 	return s
 }
 
 func (s *endlessServer) serve(c net.Conn) {
-	defer func() { _ = c.Close() }()
 	reader := bufio.NewReader(c)
 	for {
 		r, err := http.ReadRequest(reader)
--- a/io/gateway/status_test.go
+++ b/io/gateway/status_test.go
@@ -16,6 +16,7 @@
 	"jacinthferry/core/reason"
 	"jacinthferry/io/gateway"
 	"jacinthferry/io/timer"
+	"jacinthferry/standin/suite"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -24,31 +25,19 @@
 // startReplying starts an upstream of service s that sends text to each request, and then closes the connection unless it
 // keeps it open.
 func startReplying(id, text string, open bool) *catalog.Upstream {
-	listener, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", "127.0.0.1:0")
-	Expect(err).NotTo(HaveOccurred())
-	DeferCleanup(listener.Close)
-	go func() {
+	address := suite.ServeConns(func(c net.Conn) {
+		reader := bufio.NewReader(c)
 		for {
-			c, err := listener.Accept()
-			if err != nil {
+			if _, err := http.ReadRequest(reader); err != nil {
+				return
+			}
+			if _, err := io.WriteString(c, text); err != nil || !open {
 				return
 			}
-			go func() {
-				defer func() { _ = c.Close() }()
-				reader := bufio.NewReader(c)
-				for {
-					if _, err := http.ReadRequest(reader); err != nil {
-						return
-					}
-					if _, err := io.WriteString(c, text); err != nil || !open {
-						return
-					}
-				}
-			}()
 		}
-	}()
+	})
 
-	return &catalog.Upstream{ID: id, Service: "s", Address: listener.Addr().String(), Slots: 2}
+	return &catalog.Upstream{ID: id, Service: "s", Address: address, Slots: 2}
 }
 
 const signedBody = "X-Stamp: s\r\nContent-Length: 16\r\n\r\nsixteen bytes..."
--- a/io/upstream/copies_test.go
+++ b/io/upstream/copies_test.go
@@ -13,6 +13,7 @@
 	"jacinthferry/core/leg"
 	"jacinthferry/core/reason"
 	"jacinthferry/io/upstream"
+	"jacinthferry/standin/suite"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -32,11 +33,7 @@
 
 		return leg.Result{Answer: echo(l)}
 	}})
-	listener, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", "127.0.0.1:0")
-	Expect(err).NotTo(HaveOccurred())
-	DeferCleanup(listener.Close)
-	serve := func(c net.Conn) {
-		defer func() { _ = c.Close() }()
+	address = suite.ServeConns(func(c net.Conn) {
 		reader := bufio.NewReader(c)
 		var copied []byte
 		for {
@@ -60,18 +57,9 @@
 			}
 			copied = text.Bytes()
 		}
-	}
-	go func() {
-		for {
-			c, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go serve(c)
-		}
-	}()
+	})
 
-	return listener.Addr().String(), runs
+	return address, runs
 }
 
 // Guards against a second copy of a rejection that is taken for the answer to the next submit, which runs.
--- a/io/upstream/endless_test.go
+++ b/io/upstream/endless_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"context"
 	"io"
 	"net"
 	"net/http"
@@ -23,29 +22,15 @@
 // endlessUpstream listens on loopback and answers each request with start, and then part until the caller closes. It
 // closes the connection itself if part is empty.
 func endlessUpstream(start, part string) (address string) {
-	listener, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", "127.0.0.1:0")
-	Expect(err).NotTo(HaveOccurred())
-	DeferCleanup(listener.Close)
-	go func() {
-		for {
-			c, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer func() { _ = c.Close() }()
-				_, err := http.ReadRequest(bufio.NewReader(c))
-				if err == nil {
-					_, err = io.WriteString(c, start)
-				}
-				for err == nil && part != "" {
-					_, err = io.WriteString(c, part)
-				}
-			}()
+	return suite.ServeConns(func(c net.Conn) {
+		_, err := http.ReadRequest(bufio.NewReader(c))
+		if err == nil {
+			_, err = io.WriteString(c, start)
 		}
-	}()
-
-	return listener.Addr().String()
+		for err == nil && part != "" {
+			_, err = io.WriteString(c, part)
+		}
+	})
 }
 
 // Guards against upstreams that send bytes without end, which a daemon kept until it ran out of memory.
