--- a/io/gateway/conn.go
+++ b/io/gateway/conn.go
@@ -44,8 +44,8 @@
 	expires clock.Milli
 	// carried are the requests that were sent on the connection.
 	carried []requestHash
-	// named is set once a response on the connection had the ID of a request.
-	named bool
+	// echoesIDs is set once a response on the connection had the ID of a request.
+	echoesIDs bool
 	// dropped is how many responses to other requests came instead of the one to the latest.
 	dropped int
 }
@@ -107,14 +107,12 @@
 // matches reports whether a response is that to the request with the given ID. One without an ID is, unless responses
 // on the connection have had one: it is then an error, as it may be that to any request.
 func (c *conn) matches(reply *UpstreamResponse, id string) (bool, error) {
-	named := c.named
-	c.named = named || reply.ID != ""
-	switch {
-	case reply.ID == id:
-		return true, nil
-	case reply.ID != "":
-		return false, nil
-	case named:
+	if reply.ID != "" {
+		c.echoesIDs = true
+
+		return reply.ID == id, nil
+	}
+	if c.echoesIDs {
 		return false, errUnnamed
 	}
 
--- a/io/gateway/response.go
+++ b/io/gateway/response.go
@@ -79,5 +79,5 @@
 func hasBody(r *http.Response) bool {
 	length := r.Header.Get("Content-Length")
 
-	return (length != "" && length != "0") || len(r.TransferEncoding) > 0 || r.Header.Get("Transfer-Encoding") != ""
+	return (length != "" && length != "0") || len(r.TransferEncoding) > 0
 }
--- a/io/upstream/calls.go
+++ b/io/upstream/calls.go
@@ -41,11 +41,11 @@
 	switch {
 	case named == id:
 		if used != nil {
-			used.named.Store(true)
+			used.namesCalls.Store(true)
 		}
 
 		return response, nil
-	case named == "" && (used == nil || !used.named.Load()):
+	case named == "" && (used == nil || !used.namesCalls.Load()):
 		return response, nil
 	}
 	_ = response.Body.Close()
--- a/io/upstream/conn.go
+++ b/io/upstream/conn.go
@@ -37,8 +37,8 @@
 	// refuseWrite makes the next write fail.
 	refuseWrite atomic.Bool
 	wrote       atomic.Bool
-	// named is set once a response on the connection has named the call that it belongs to.
-	named      atomic.Bool
+	// namesCalls is set once a response on the connection has named the call that it belongs to.
+	namesCalls atomic.Bool
 	removeOnce sync.Once
 
 	mu                 sync.Mutex
