Tell the choice of active daemons since when each is registered

Found by reading. What callers would see: a daemon that joins takes the place of an equal one at work if its name sorts earlier; its connections and its knowledge of upstreams begin anew.

Cause: orders equal daemons by the revision at which they registered, but the candidate that the registry passes to that choice left it out, so that all had 0. The models of core/standby and core/subset set it themselves.

Test: io/registry, "keeps the daemons at work when an equal one registers", red before.

--- a/io/registry/record.go
+++ b/io/registry/record.go
@@ -82,7 +82,7 @@
 
 // candidate returns what the choice of the active daemons depends on.
 func (m Member) candidate() subset.Member {
-	return subset.Member{Name: m.Name, Zone: m.Zone, Cores: m.Cores}
+	return subset.Member{Name: m.Name, Zone: m.Zone, Cores: m.Cores, Since: m.Since}
 }
 
 func (m Member) key() string { return memberPrefix + m.Name }
--- a/io/registry/standby_test.go
+++ b/io/registry/standby_test.go
@@ -53,6 +53,26 @@
 	return names
 }
 
+// Guards against a choice that does not know since when a daemon is registered, and gives the work of one to an equal
+// one that joins.
+var _ = Describe("A registry", func() {
+	It("keeps the daemons at work when an equal one registers", func() {
+		r := newHarness(registry.Member{Name: "self", Zone: "b", Cores: 0.8})
+		r.put("c", "config")
+		r.member("self", "b", 0.8)
+		r.member("large2", "a", 0.8)
+		r.member("large3", "a", 0.8)
+		r.advance(0)
+		Expect(r.memberNames()).To(Equal([]string{"large2", "large3", "self"}))
+		r.member("large1", "a", 0.8)
+		r.advance(clock.Second)
+		Expect(r.memberNames()).To(Equal([]string{"large2", "large3", "self"}))
+		r.remove("jacinthferry/members/large3")
+		r.advance(clock.Second)
+		Expect(r.memberNames()).To(Equal([]string{"large1", "large2", "self"}))
+	})
+})
+
 var _ = Describe("A registry on standby", func() {
 	It("names a daemon in reserve only once that takes requests", func() {
 		r := newStandby()
