Send a request that may run once to each upstream once

What callers saw: the users report that review/6 still runs unsafe requests twice.

Cause: nothing in a response tells for which send of a request it is.

Change: a request that is not idempotent goes to each upstream once, and is refused as not run once all that take requests have rejected it. A rejection then belongs to one send only.

Specs, red before: a query sends such a request to each upstream once; a copy on another connection (it ran 2 times). Changed specs: those that waited for room at the upstream that had rejected an unsafe request now let it wait for one that cannot be reached; the one that had its second send answered expects that it is not sent, and never runs. None is looser.

--- a/core/gather/legs.go
+++ b/core/gather/legs.go
@@ -97,13 +97,27 @@
 
 // exhausted reports whether a shard may get no more legs.
 func (q *Query) exhausted(i int) bool {
-	if !q.route.Idempotent && len(q.executors(i)) > 0 {
+	if !q.route.Idempotent && (len(q.executors(i)) > 0 || q.sentToAll(i)) {
 		return true
 	}
 
 	return q.shards[i].failures >= legsPerAttempt*max(1, q.route.Attempts)
 }
 
+// sentTo reports whether any bytes of the shard's request were sent to the upstream.
+func (q *Query) sentTo(i int, u *catalog.Upstream) bool {
+	return slices.ContainsFunc(q.legs, func(l leg) bool {
+		return l.shard == i && !l.unsent && l.upstream.Key() == u.Key()
+	})
+}
+
+// sentToAll reports the same of all upstreams that take requests.
+func (q *Query) sentToAll(i int) bool {
+	return !slices.ContainsFunc(q.usable(q.shards[i].service.Name), func(u *catalog.Upstream) bool {
+		return !q.sentTo(i, u)
+	})
+}
+
 // takeBudget takes one send from the retry budget if an upstream may have received the shard's request
 // before, and reports whether the shard's next leg may be sent.
 func (q *Query) takeBudget(now clock.Milli, i int) bool {
@@ -116,12 +130,16 @@
 	return true
 }
 
-// chooseUpstream returns the upstream for a shard's next leg, or nil. It prefers an upstream that has not
-// had the request, while the route allows more upstreams, to one that has.
+// chooseUpstream returns the upstream for a shard's next leg, or nil. It prefers an upstream that has not had the
+// request, while the route allows more upstreams, to one that has. A request that is not idempotent goes to each
+// upstream once at most, since a late copy of a rejection looks like the response to a second send.
 func (q *Query) chooseUpstream(now clock.Milli, i int) *catalog.Upstream {
 	if u := q.chooseCanary(now, i); u != nil {
 		return u
 	}
+	if !q.route.Idempotent {
+		return q.chooseExcept(now, i, func(u *catalog.Upstream) bool { return q.sentTo(i, u) })
+	}
 	executors := q.executors(i)
 	if len(executors) < max(1, q.route.Attempts) {
 		executed := func(u *catalog.Upstream) bool { return slices.Contains(executors, u.Key()) }
@@ -129,9 +147,6 @@
 			return u
 		}
 	}
-	if !q.route.Idempotent {
-		return nil
-	}
 
 	return q.chooseExcept(now, i, func(u *catalog.Upstream) bool {
 		return q.inFlightAt(i, u) || !slices.Contains(executors, u.Key())
