--- a/io/gateway/copies_test.go
+++ b/io/gateway/copies_test.go
@@ -11,8 +11,6 @@
 
 	"jacinthferry/core/catalog"
 	"jacinthferry/core/clock"
-	"jacinthferry/core/event"
-	"jacinthferry/core/gather"
 	"jacinthferry/core/reason"
 	"jacinthferry/io/gateway"
 	"jacinthferry/io/timer"
@@ -125,9 +123,8 @@
 	// brief is the time of a request that is rejected.
 	const brief = 100 * clock.Millisecond
 	now := timer.NewClock()
-	retries := gather.Policy{RetryRatio: 1, RetrySlack: 1000, DeadlineMargin: 5}
-	noRetries := gather.Policy{DeadlineMargin: 5}
-	newGateway := func(u *copyingUpstream, route catalog.Route, policy gather.Policy) *gateway.Gateway {
+	const retries, noRetries = true, false
+	newGateway := func(u *copyingUpstream, route catalog.Route, retries bool) *gateway.Gateway {
 		u.start()
 		route.Host, route.Prefix, route.Attempts = "h", "/", 2
 		if !route.Gathers() {
@@ -137,11 +134,12 @@
 		config := catalog.NewConfig(1, 1, []catalog.Route{route}, []catalog.Service{{Name: "s"}}, catalog.Limits{})
 		view := catalog.NewView(config, []*catalog.Upstream{u.Upstream}, nil)
 
-		return gateway.New(gateway.Options{
-			Now: now, View: func() *catalog.View { return view }, DaemonCount: func() int { return 1 }, StoreContact: now,
-			Observe: func(string, clock.Milli, bool) {}, Record: func(event.Event) {}, Codec: labelledCodec,
-			Policy: policy, ResponseMemory: 1 << 20,
-		})
+		options := newOptions(func() *catalog.View { return view }, labelledCodec)
+		if !retries {
+			options.Policy.RetryRatio, options.Policy.RetrySlack = 0, 0
+		}
+
+		return gateway.New(options)
 	}
 	send := func(g *gateway.Gateway, id string, wait clock.Milli) gateway.Response {
 		response := g.Serve(context.Background(), &gateway.Call{
--- a/io/gateway/crash_shards_test.go
+++ b/io/gateway/crash_shards_test.go
@@ -80,12 +80,9 @@
 	BeforeEach(func() {
 		index = newCrashingIndex("s", shards, zones)
 		view.Store(index.view())
-		now := timer.NewClock()
-		g = gateway.New(gateway.Options{
-			Now: now, View: view.Load, DaemonCount: func() int { return 1 }, StoreContact: now,
-			Record: (&recorder{}).record, Observe: func(string, clock.Milli, bool) {}, Codec: plainCodec,
-			Policy: gather.Policy{RetryRatio: 0.2, RetrySlack: 500, DeadlineMargin: 5},
-		})
+		options := newOptions(view.Load, plainCodec)
+		options.Policy.RetryRatio, options.Policy.RetrySlack = 0.2, 500
+		g = gateway.New(options)
 	})
 	send := func(ctx context.Context, path string) *reason.Refusal {
 		response := g.Serve(ctx, &gateway.Call{
--- a/io/gateway/crash_test.go
+++ b/io/gateway/crash_test.go
@@ -14,7 +14,6 @@
 	"jacinthferry/core/catalog"
 	"jacinthferry/core/clock"
 	"jacinthferry/core/event"
-	"jacinthferry/core/gather"
 	"jacinthferry/core/quarantine"
 	"jacinthferry/core/reason"
 	"jacinthferry/io/gateway"
@@ -118,15 +117,11 @@
 		route.Idempotent = true
 		setView(route, first.upstream, second.upstream)
 		warnings = &warningList{}
-		now := timer.NewClock()
 		recorded = &recorder{}
-		g = gateway.New(gateway.Options{
-			Now: now, View: view.Load, DaemonCount: func() int { return 1 },
-			StoreContact: now, Record: recorded.record, Observe: func(string, clock.Milli, bool) {},
-			OnCrash: warnings.add,
-			Codec:   plainCodec,
-			Policy:  gather.Policy{RetryRatio: 0.2, RetrySlack: 50, DeadlineMargin: 5},
-		})
+		options := newOptions(view.Load, plainCodec)
+		options.Record, options.OnCrash = recorded.record, warnings.add
+		options.Policy.RetryRatio, options.Policy.RetrySlack = 0.2, 50
+		g = gateway.New(options)
 	}
 	send := func(ctx context.Context, path string) gateway.Response {
 		return g.Serve(ctx, &gateway.Call{
--- a/io/gateway/endless_test.go
+++ b/io/gateway/endless_test.go
@@ -17,7 +17,6 @@
 	"jacinthferry/core/catalog"
 	"jacinthferry/core/clock"
 	"jacinthferry/core/event"
-	"jacinthferry/core/gather"
 	"jacinthferry/core/reason"
 	"jacinthferry/io/gateway"
 	"jacinthferry/io/timer"
@@ -166,17 +165,10 @@
 			routes[i].Timeout, routes[i].Objective = wait, objective
 		}
 		view := catalog.NewView(catalog.NewConfig(1, 1, routes, services, catalog.Limits{}), upstreams, nil)
-		now := timer.NewClock()
+		options := newOptions(func() *catalog.View { return view }, plainCodec)
+		options.Record, options.ResponseMemory = events.record, memory
 
-		g := gateway.New(gateway.Options{
-			Now: now, View: func() *catalog.View { return view }, DaemonCount: func() int { return 1 },
-			StoreContact: now, Observe: func(string, clock.Milli, bool) {}, ResponseMemory: memory,
-			Record: events.record,
-			Codec:  plainCodec,
-			Policy: gather.Policy{RetryRatio: 1, RetrySlack: 1000, DeadlineMargin: 5},
-		})
-
-		return g, events
+		return gateway.New(options), events
 	}
 	send := func(g *gateway.Gateway, path string) gateway.Response {
 		response := g.Serve(context.Background(), &gateway.Call{
--- a/io/gateway/status_test.go
+++ b/io/gateway/status_test.go
@@ -11,8 +11,6 @@
 
 	"jacinthferry/core/catalog"
 	"jacinthferry/core/clock"
-	"jacinthferry/core/event"
-	"jacinthferry/core/gather"
 	"jacinthferry/core/reason"
 	"jacinthferry/io/gateway"
 	"jacinthferry/io/timer"
@@ -59,11 +57,7 @@
 		config := catalog.NewConfig(1, 1, []catalog.Route{route}, []catalog.Service{{Name: "s"}}, catalog.Limits{})
 		view := catalog.NewView(config, upstreams, nil)
 
-		return gateway.New(gateway.Options{
-			Now: now, View: func() *catalog.View { return view }, DaemonCount: func() int { return 1 }, StoreContact: now,
-			Observe: func(string, clock.Milli, bool) {}, Record: func(event.Event) {}, Codec: codec,
-			Policy: gather.Policy{RetryRatio: 1, RetrySlack: 1000, DeadlineMargin: 5}, ResponseMemory: 1 << 20,
-		})
+		return gateway.New(newOptions(func() *catalog.View { return view }, codec))
 	}
 	newGateway := func(idempotent bool, upstreams ...*catalog.Upstream) *gateway.Gateway {
 		return newGatewayFor(catalog.Route{Name: "one", Service: "s", Idempotent: idempotent}, upstreams...)
