--- a/core/gather/legs.go
+++ b/core/gather/legs.go
@@ -104,7 +104,7 @@
 	return q.shards[i].failures >= legsPerAttempt*max(1, q.route.Attempts)
 }
 
-// sentTo reports whether any bytes of the shard's request were sent to the upstream.
+// sentTo reports whether bytes of the shard's request were, or may have been, sent to the upstream.
 func (q *Query) sentTo(i int, u *catalog.Upstream) bool {
 	return slices.ContainsFunc(q.legs, func(l leg) bool {
 		return l.shard == i && !l.unsent && l.upstream.Key() == u.Key()
--- a/core/gather/query_test.go
+++ b/core/gather/query_test.go
@@ -266,26 +266,20 @@
 		d := newDaemon(1, 2, order)
 		d.route.Service, d.route.Shards = "shard0", nil
 		q, sends := d.begin(start)
-		now := start + 1
-		sends = slices.Clone(q.HandleResult(now, sends[0].Number, unreachable))
-		asked := make(map[string]int)
-		for !q.Done() {
-			Expect(len(sends)).To(BeNumerically("<=", 1))
-			for _, a := range sends {
-				asked[a.Upstream.ID]++
-				sends = slices.Clone(q.HandleResult(now, a.Number, rejection))
-			}
-			if len(sends) == 0 {
-				now = q.NextTimeout()
-				sends = slices.Clone(q.HandleTimeout(now))
-			}
-			if q.Done() {
-				Expect(now).To(BeNumerically("<", start+order.Objective), "it cannot be served any more")
-				Expect(sends[0].Outcome.Refusal).To(And(HaveField("Run", reason.NotExecuted), HaveField("Reason", reason.Overload)))
-				Expect(sends[0].Outcome.RetryAfter).To(BeNumerically(">", 0))
-			}
-		}
-		Expect(asked).To(Equal(map[string]int{"shard0-0": 1, "shard0-1": 1}))
+		first := sends[0].Upstream
+
+		sends = slices.Clone(q.HandleResult(start+1, sends[0].Number, unreachable))
+		Expect(sends).To(HaveLen(1))
+		Expect(sends[0].Upstream).NotTo(Equal(first))
+		Expect(q.HandleResult(start+2, sends[0].Number, rejection)).To(BeEmpty(), "the first one is tried again later")
+
+		sends = slices.Clone(q.HandleTimeout(start + 200))
+		Expect(sends).To(HaveLen(1))
+		Expect(sends[0].Upstream).To(Equal(first), "it has not had the request")
+		end := ofKind(q.HandleResult(start+201, sends[0].Number, rejection), gather.Finish)
+		Expect(end).To(HaveLen(1))
+		Expect(end[0].Outcome.Refusal).To(And(HaveField("Run", reason.NotExecuted), HaveField("Reason", reason.Overload)))
+		Expect(end[0].Outcome.RetryAfter).To(BeNumerically(">", 0))
 	})
 
 	It("sets deadlines for upstreams no later than the end of the caller's wait", func() {
@@ -480,7 +474,7 @@
 		// change returns the view after the first leg was rejected; upstreams are those of zone0, which rejected it, and of
 		// zone1, which would be asked next.
 		change func(config *catalog.Config, upstreams []*catalog.Upstream) *catalog.View
-		// resent is set if the upstream of zone0 may get another leg: one that is idempotent, or has gone to zone1 before.
+		// resent is set if another leg may go to zone0. One that is not idempotent only goes there from zone1.
 		resent bool
 	}{
 		{"when one drains", func(config *catalog.Config, upstreams []*catalog.Upstream) *catalog.View {
--- a/io/gateway/copies_test.go
+++ b/io/gateway/copies_test.go
@@ -162,10 +162,13 @@
 		expectRunOnce(u, send(g, "r", 3*clock.Second), "r")
 	})
 
-	for _, elsewhere := range []bool{false, true} {
-		It(fmt.Sprintf("does not hide that a request runs that may run once only, on another connection %v", elsewhere), func() {
+	for _, c := range []struct {
+		name      string
+		elsewhere bool
+	}{{"the same connection", false}, {"another connection", true}} {
+		It("does not hide that a request runs that may run once only, if it comes on "+c.name, func() {
 			u := &copyingUpstream{
-				status: http.StatusServiceUnavailable, headers: rejected, failures: 1, elsewhere: elsewhere,
+				status: http.StatusServiceUnavailable, headers: rejected, failures: 1, elsewhere: c.elsewhere,
 			}
 			g := newGateway(u, catalog.Route{Name: "unsafe"}, retries)
 			response := send(g, "r", clock.Second)
