--- a/io/upstream/copies_test.go
+++ b/io/upstream/copies_test.go
@@ -20,9 +20,9 @@
 )
 
 // copyingUpstream refuses the first leg and sends each response a second time, where the next response on the connection
-// is due. If it is plain, its responses do not say which call they belong to. It returns its address and the number of
-// legs that it ran.
-func copyingUpstream(plain bool) (address string, runs *atomic.Int64) {
+// is due. If elsewhere is set, each connection carries one call, and the second copies come on the next one. If it is plain,
+// its responses do not say which call they belong to. It returns its address and the number of legs that it ran.
+func copyingUpstream(plain, elsewhere bool) (address string, runs *atomic.Int64) {
 	runs = &atomic.Int64{}
 	var arrivals atomic.Int64
 	handler := upstream.Handler(upstream.Operations{Run: func(_ context.Context, l leg.Leg) leg.Result {
@@ -33,9 +33,13 @@
 
 		return leg.Result{Answer: echo(l)}
 	}})
+	latest := make(chan []byte, 1)
 	address = suite.ServeConns(func(c net.Conn) {
 		reader := bufio.NewReader(c)
-		var copied []byte
+		copies := latest
+		if !elsewhere {
+			copies = make(chan []byte, 1)
+		}
 		for {
 			r, err := http.ReadRequest(reader)
 			if err != nil {
@@ -45,6 +49,7 @@
 			handler.ServeHTTP(recorder, r)
 			response := recorder.Result()
 			response.ContentLength = int64(recorder.Body.Len())
+			response.Close = elsewhere
 			if plain {
 				response.Header.Del("Call")
 			}
@@ -52,10 +57,15 @@
 			if response.Write(&text) != nil {
 				return
 			}
-			if _, err := c.Write(append(copied, text.Bytes()...)); err != nil {
+			var copied []byte
+			select {
+			case copied = <-copies:
+			default:
+			}
+			copies <- text.Bytes()
+			if _, err := c.Write(append(copied, text.Bytes()...)); err != nil || elsewhere {
 				return
 			}
-			copied = text.Bytes()
 		}
 	})
 
@@ -82,7 +92,7 @@
 
 	for _, request := range []string{"r", "another"} {
 		It("does not reject the next leg: "+request, func() {
-			address, runs := copyingUpstream(false)
+			address, runs := copyingUpstream(false, false)
 			p := newPool(address)
 			Expect(p.Run(submit("r", 0)).Result.Refusal.Run).To(Equal(reason.NotExecuted))
 			refusal := p.Run(submit(request, 1)).Result.Refusal
@@ -92,8 +102,17 @@
 		})
 	}
 
+	It("does not reject the next leg on another connection", func() {
+		address, runs := copyingUpstream(false, true)
+		p := newPool(address)
+		Expect(p.Run(submit("r", 0)).Result.Refusal.Run).To(Equal(reason.NotExecuted))
+		refusal := p.Run(submit("r", 1)).Result.Refusal
+		Expect(runs.Load()).To(BeEquivalentTo(1))
+		Expect(refusal).To(And(HaveField("Run", reason.ExecutionUnknown), HaveField("Reason", reason.Mismatch)))
+	})
+
 	It("may come from an upstream that does not say which call it answers", func() {
-		address, _ := copyingUpstream(true)
+		address, _ := copyingUpstream(true, false)
 		p := newPool(address)
 		Expect(p.Run(submit("r", 0)).Result.Refusal.Run).To(Equal(reason.NotExecuted))
 	})
